--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Commands for newcomers and CI; README.md describes each of them.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+export PYTHONPATH := src:bench:testing:specs
+
+.PHONY: demo test check format lint types pytest check-models bench generate
+
+$(STAMP): requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m sesamehold_bench.process.cli demo
+
+test: $(STAMP) format lint types pytest
+
+format: $(STAMP)
+	$(BIN)/ruff format --check .
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+pytest: $(STAMP)
+	$(BIN)/python -m pytest -q
+
+check-models: $(STAMP)
+	$(BIN)/python -m sesamehold_specs.check --full
+
+bench: $(STAMP)
+	$(BIN)/python -m sesamehold_bench.process.cli experiments
+
+# Needs the packages of the "generate" extra; the generated code is committed.
+generate:
+	cd src && $(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
+	  sesamehold/connection/wire/peer.proto
