--- /dev/null
+++ b/bench/sesamehold_bench/connection/platform_http.py
@@ -0,0 +1,83 @@
+"""Stand-in for the platform's configuration service: read and watch, calls counted."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+import attrs
+
+_MS_PER_S = 1_000
+
+
+@attrs.define
+class PublishedValue:
+    """A value with its version."""
+
+    version: int
+    value: Any
+
+
+@attrs.define(eq=False)
+class PlatformApi:
+    """Serves values; a waiting watch counts as one call."""
+
+    values: dict[str, PublishedValue] = attrs.field(factory=dict)
+    calls: int = 0
+    down: bool = False
+    _changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+
+    def application(self) -> web.Application:
+        """Returns the aiohttp application."""
+        application = web.Application(client_max_size=16 * 1_048_576)
+        application.router.add_get("/v1/values/{name}", self.read)
+        application.router.add_put("/control/values/{name}", self.publish)
+        application.router.add_put("/control/down", self.set_down)
+        application.router.add_get("/control/counters", self.counters)
+        return application
+
+    async def publish(self, request: web.Request) -> web.Response:
+        """Publishes a value; only tests and the demo call this."""
+        document = await request.json()
+        async with self._changed:
+            name = request.match_info["name"]
+            self.values[name] = PublishedValue(int(document["version"]), document["value"])
+            self._changed.notify_all()
+        return web.json_response({"published": True})
+
+    async def set_down(self, request: web.Request) -> web.Response:
+        """Switches the service off or on."""
+        self.down = bool((await request.json())["down"])
+        async with self._changed:
+            self._changed.notify_all()
+        return web.json_response({"down": self.down})
+
+    async def counters(self, request: web.Request) -> web.Response:
+        """Answers the number of calls."""
+        del request
+        return web.json_response({"calls": self.calls})
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Answers a value, or waits for a version after `after_version`."""
+        self.calls += 1
+        name = request.match_info["name"]
+        after_version = int(request.query.get("after_version", "-1"))
+        wait_s = int(request.query.get("wait_ms", "0")) / _MS_PER_S
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self._newer(name, after_version))
+        except TimeoutError:
+            pass
+        if self.down:
+            return web.json_response({"error": "unavailable"}, status=503)
+        value = self.values.get(name)
+        if value is None:
+            return web.json_response({"error": "no such value"}, status=404)
+        if value.version <= after_version:
+            return web.Response(status=304)
+        return web.json_response({"version": value.version, "value": value.value})
+
+    def _newer(self, name: str, after_version: int) -> bool:
+        value = self.values.get(name)
+        return self.down or (value is not None and value.version > after_version)
--- /dev/null
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -0,0 +1,217 @@
+"""Starts a small fleet with its stand-ins as child processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+from typing import Any
+
+import aiohttp
+import attrs
+
+from sesamehold.version import manifest
+from sesamehold_bench.version import fleet
+
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+OPERATOR_CREDENTIAL = "operator-secret-for-tests"
+PEER_KEY = "peer-key-for-tests-only"
+
+
+@attrs.define(eq=False)
+class ChildProcess:
+    """A process that this one started."""
+
+    name: str
+    process: asyncio.subprocess.Process
+
+    def send_signal(self, signal_number: int) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal_number)
+
+    async def stop(self) -> int:
+        """Stops the process gracefully and returns its exit code."""
+        self.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_S)
+
+    async def kill(self) -> None:
+        """Kills the process."""
+        self.send_signal(signal.SIGKILL)
+        await self.process.wait()
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns loopback addresses that are free now, on TCP and UDP alike."""
+    sockets = []
+    for _ in range(count):
+        candidate = socket.socket()
+        candidate.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        candidate.bind(("127.0.0.1", 0))
+        sockets.append(candidate)
+    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+@attrs.define(eq=False)
+class LocalFleet:
+    """Entry hosts, engines, services and the configuration service of one deployment."""
+
+    deployment: fleet.Deployment
+    session: aiohttp.ClientSession
+    directory: pathlib.Path
+    platform_address: str
+    addresses: fleet.Addresses
+    version: manifest.Manifest
+    children: dict[str, ChildProcess] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(
+        cls, deployment: fleet.Deployment, session: aiohttp.ClientSession
+    ) -> LocalFleet:
+        """Returns a fleet with free addresses; nothing is started yet."""
+        ids = [fleet.engine_id(index) for index in range(deployment.engine_count)]
+        ids += [
+            fleet.service_id(pool.name, index)
+            for pool in deployment.services
+            for index in range(pool.target_count)
+        ]
+        free = free_addresses(1 + 3 * deployment.host_count + len(ids))
+        hosts = tuple(
+            (free[1 + 3 * index], free[2 + 3 * index], free[3 + 3 * index])
+            for index in range(deployment.host_count)
+        )
+        targets = dict(zip(ids, free[1 + 3 * deployment.host_count :], strict=True))
+        addresses = fleet.Addresses(hosts=hosts, targets=targets)
+        return cls(
+            deployment=deployment,
+            session=session,
+            directory=pathlib.Path(tempfile.mkdtemp(prefix="sesamehold-fleet-")),
+            platform_address=free[0],
+            addresses=addresses,
+            version=fleet.build(deployment, addresses),
+        )
+
+    async def start(self) -> None:
+        """Starts everything and waits until all entry hosts are ready."""
+        await self._start("platform", "platform", "--address", self.platform_address)
+        for target_id, address in self.addresses.targets.items():
+            await self._start_target(target_id, address)
+        await self._wait_until_up(self.platform_address, "/control/counters")
+        for address in self.addresses.targets.values():
+            await self._wait_until_up(address, "/v1/counters")
+        await self.publish(self.version)
+        for index in range(self.deployment.host_count):
+            await self.start_host(index)
+        for caller_address, _, _ in self.addresses.hosts:
+            await self._wait_until_up(caller_address, "/healthz")
+
+    async def start_host(self, index: int) -> None:
+        """Starts one entry host."""
+        caller, operator, peer = self.addresses.hosts[index]
+        config = {
+            "host_id": f"host-{index}",
+            "zone": fleet.zone_of(self.deployment, index),
+            "caller_address": caller,
+            "operator_address": operator,
+            "peer_address": peer,
+            "platform_address": self.platform_address,
+            "operator_credential": OPERATOR_CREDENTIAL,
+            "peer_keys": [PEER_KEY],
+            "seeds": [peer for _, _, peer in self.addresses.hosts],
+            "random_seed": index,
+        }
+        path = self.directory / f"host-{index}.json"
+        path.write_text(f"// Settings of host-{index}.\n{json.dumps(config, indent=2)}\n")
+        await self._spawn(f"host-{index}", "sesamehold.process.daemon", "--settings", str(path))
+
+    async def publish(self, version: manifest.Manifest) -> None:
+        """Publishes a manifest on the configuration service."""
+        document = {"version": version.version, "value": manifest.to_json(version)}
+        url = f"http://{self.platform_address}/control/values/manifest"
+        async with self.session.put(url, json=document) as response:
+            response.raise_for_status()
+        self.version = version
+
+    async def operator_get(self, index: int, path: str) -> Any:
+        """Returns a JSON document from an entry host's operator interface."""
+        headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
+        url = f"http://{self.addresses.hosts[index][1]}{path}"
+        async with self.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def target_counters(self, target_id: str) -> Any:
+        """Returns what a target has counted."""
+        url = f"http://{self.addresses.targets[target_id]}/v1/counters"
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def stop(self) -> dict[str, int]:
+        """Stops entry hosts first, then the stand-ins; returns exit codes by name."""
+        names = sorted(self.children, key=lambda name: not name.startswith("host-"))
+        codes: dict[str, int] = {}
+        for group in (True, False):
+            chosen = [name for name in names if name.startswith("host-") is group]
+            results = await asyncio.gather(*(self.children[name].stop() for name in chosen))
+            codes.update(zip(chosen, results, strict=True))
+        return codes
+
+    async def _start_target(self, target_id: str, address: str) -> None:
+        if target_id.startswith("engine-"):
+            await self._start(
+                target_id,
+                "engine",
+                "--address",
+                address,
+                "--capacity-warm",
+                str(self.deployment.engine_capacity),
+                "--capacity-cold",
+                str(self.deployment.engine_capacity_cold),
+            )
+            return
+        pool_name = target_id.rpartition("-")[0]
+        pool = next(item for item in self.deployment.services if item.name == pool_name)
+        await self._start(
+            target_id,
+            "service",
+            "--address",
+            address,
+            "--name",
+            pool_name,
+            "--capacity",
+            str(pool.capacity),
+            "--service-ms",
+            str(pool.service_ms),
+        )
+
+    async def _start(self, name: str, command: str, *arguments: str) -> None:
+        await self._spawn(name, "sesamehold_bench.process.cli", command, *arguments)
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        log = (self.directory / f"{name}.log").open("ab")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, *arguments, stderr=log, stdout=log, env=dict(os.environ)
+        )
+        log.close()
+        self.children[name] = ChildProcess(name, process)
+
+    async def _wait_until_up(self, address: str, path: str) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await self._is_up(address, path):
+                await asyncio.sleep(0.05)
+
+    async def _is_up(self, address: str, path: str) -> bool:
+        try:
+            async with self.session.get(f"http://{address}{path}") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
--- /dev/null
+++ b/src/sesamehold/connection/sse.py
@@ -0,0 +1,63 @@
+"""Server-sent events: incremental parser and encoder (WHATWG HTML, section 9.2)."""
+
+from __future__ import annotations
+
+import attrs
+
+# A line longer than this is not a token piece; the stream is treated as malformed.
+MAX_BUFFER_BYTES = 1_048_576
+
+
+class EventTooLargeError(ValueError):
+    """An event exceeds the buffer of the parser."""
+
+
+@attrs.define
+class EventParser:
+    r"""Splits a byte stream into the data fields of its events.
+
+    Other fields (`event`, `id`, `retry`, comments) are skipped, because the completions protocol
+    uses only `data`.
+
+    >>> parser = EventParser()
+    >>> parser.feed(b"data: {\"a\"")
+    []
+    >>> parser.feed(b":1}\n\ndata: [DONE]\n\n")
+    [b'{"a":1}', b'[DONE]']
+    """
+
+    _buffer: bytes = b""
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Returns the data of all events that the chunk completes.
+
+        Raises:
+            EventTooLargeError: An event exceeds `MAX_BUFFER_BYTES`.
+        """
+        buffer = self._buffer + chunk if self._buffer else chunk
+        if b"\r" in buffer:
+            buffer = buffer.replace(b"\r\n", b"\n")
+        *complete, self._buffer = buffer.split(b"\n\n")
+        if len(self._buffer) > MAX_BUFFER_BYTES:
+            raise EventTooLargeError(f"event exceeds {MAX_BUFFER_BYTES} bytes")
+        return [data for block in complete if (data := _data_of(block)) is not None]
+
+
+def _data_of(block: bytes) -> bytes | None:
+    if block.startswith(b"data: ") and b"\n" not in block:
+        return block[6:]
+    parts = [
+        line[5:].removeprefix(b" ") for line in block.split(b"\n") if line.startswith(b"data:")
+    ]
+    return b"\n".join(parts) if parts else None
+
+
+def encode(data: bytes, event: bytes | None = None) -> bytes:
+    r"""Returns one event; the data must not contain line breaks.
+
+    >>> encode(b"1", b"piece")
+    b'event: piece\ndata: 1\n\n'
+    """
+    if event is None:
+        return b"data: " + data + b"\n\n"
+    return b"event: " + event + b"\ndata: " + data + b"\n\n"
--- /dev/null
+++ b/src/sesamehold/connection/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and services of the protocol between hosts."""
--- /dev/null
+++ b/src/sesamehold/process/clock.py
@@ -0,0 +1,60 @@
+"""Clock interface that is passed to everything that needs the time."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+import attrs
+
+_NS_PER_MS = 1_000_000
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall-clock time."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in milliseconds; it goes on while the process is stopped."""
+
+    def wall_ms(self) -> int:
+        """Returns Unix time in milliseconds."""
+
+
+@attrs.frozen
+class SystemClock:
+    """The machine's clocks."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time; CLOCK_BOOTTIME also counts while the machine is suspended."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Returns Unix time in milliseconds."""
+        return time.time_ns() // _NS_PER_MS
+
+
+@attrs.define
+class ManualClock:
+    """Clock that only moves when told to, for tests and sweeps.
+
+    >>> clock = ManualClock()
+    >>> clock.advance(5)
+    >>> clock.now_ms()
+    5
+    """
+
+    monotonic_ms: int = 0
+    unix_ms: int = 1_700_000_000_000
+
+    def now_ms(self) -> int:
+        """Returns the monotonic time that was set."""
+        return self.monotonic_ms
+
+    def wall_ms(self) -> int:
+        """Returns the wall-clock time that was set."""
+        return self.unix_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Moves both clocks forward."""
+        self.monotonic_ms += duration_ms
+        self.unix_ms += duration_ms
--- /dev/null
+++ b/src/sesamehold/process/dispatch.py
@@ -0,0 +1,232 @@
+"""Assignment of targets to attempts."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TypeAlias
+
+import attrs
+
+from sesamehold.request import errors
+from sesamehold.request import events
+from sesamehold.request import ids
+from sesamehold.version import manifest
+
+
+@attrs.frozen
+class SlotRequest:
+    """Asks for a target that can run one attempt.
+
+    Attributes:
+        attempt: Attempt to run.
+        account: Client account that caused it.
+        pipeline: Pipeline name.
+        stage: Stage to run.
+        deadline_ms: End-to-end deadline on the monotonic clock.
+        later_stages: Stages that must still run after this one.
+        priority: Larger is more urgent.
+        excluded_targets: Targets to avoid if others can take the attempt.
+        fingerprint: Hash of account, pipeline and body.
+        prefix_hashes: Hashes of growing prompt prefixes, shortest first; empty if unknown.
+    """
+
+    attempt: ids.AttemptId
+    account: str
+    pipeline: str
+    stage: manifest.Stage
+    deadline_ms: int
+    later_stages: tuple[manifest.Stage, ...] = ()
+    priority: int = 0
+    excluded_targets: frozenset[str] = frozenset()
+    fingerprint: bytes = b""
+    prefix_hashes: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class SlotGranted:
+    """The attempt may be sent to the target.
+
+    Attributes:
+        attempt: The attempt.
+        target: Target to send it to.
+        pool: Pool of the target.
+        rule: Rule that decided.
+        figures: Figures and alternatives behind the decision, for `explain`.
+    """
+
+    attempt: ids.AttemptId
+    target: manifest.Target
+    pool: manifest.Pool
+    rule: str
+    figures: dict[str, float | int | str]
+
+
+@attrs.frozen
+class SlotQueued:
+    """The attempt waits; a later call returns its grant or denial."""
+
+    attempt: ids.AttemptId
+
+
+@attrs.frozen
+class SlotDenied:
+    """The attempt cannot be run."""
+
+    attempt: ids.AttemptId
+    failure: errors.Failure
+
+
+SlotDecision: TypeAlias = SlotGranted | SlotQueued | SlotDenied
+
+
+@attrs.frozen
+class LoadReport:
+    """Load that a target reported on an answer.
+
+    Attributes:
+        running: Requests that run on the target.
+        waiting: Requests that wait on the target.
+        cold: Whether the target is in cold start.
+        start_id: Changes each time that the target's process starts.
+    """
+
+    running: int
+    waiting: int
+    cold: bool
+    start_id: str
+
+
+@attrs.frozen
+class AttemptReport:
+    """How an attempt ended, as input for later decisions.
+
+    Attributes:
+        fault: None if the attempt succeeded.
+        duration_ms: From sending to the end.
+        first_piece_ms: From sending to the first piece of a stream, None without one.
+        load: Load that the target reported, if any.
+        cached_units: Prompt tokens found in the prefix cache.
+        sent: False if nothing was written to the target.
+    """
+
+    fault: events.AttemptFault | None
+    duration_ms: int
+    first_piece_ms: int | None = None
+    load: LoadReport | None = None
+    cached_units: int = 0
+    sent: bool = True
+
+
+class Dispatcher(Protocol):
+    """Decides which target runs which attempt and in which order waiting attempts go."""
+
+    def configure(self, version: manifest.Manifest, now_ms: int) -> list[SlotDecision]:
+        """Takes over a new configuration version; may grant or deny waiting attempts."""
+
+    def acquire(self, request: SlotRequest, now_ms: int) -> SlotDecision:
+        """Grants a target, queues the attempt or denies it."""
+
+    def release(
+        self, attempt: ids.AttemptId, report: AttemptReport, now_ms: int
+    ) -> list[SlotDecision]:
+        """Returns a granted target; grants or denies waiting attempts that this makes possible."""
+
+    def withdraw(self, attempt: ids.AttemptId, now_ms: int) -> None:
+        """Removes a waiting attempt."""
+
+    def tick(self, now_ms: int) -> list[SlotDecision]:
+        """Grants or denies waiting attempts because time has passed."""
+
+
+@attrs.define
+class _TargetLoad:
+    target: manifest.Target
+    pool: manifest.Pool
+    outstanding: int = 0
+
+
+@attrs.define
+class LeastOutstandingDispatcher:
+    """Baseline: the target with the fewest outstanding attempts, first come first served."""
+
+    _loads: dict[str, _TargetLoad] = attrs.field(factory=dict)
+    _pools: dict[str, manifest.Pool] = attrs.field(factory=dict)
+    _zones_out: frozenset[str] = frozenset()
+    _granted: dict[ids.AttemptId, str] = attrs.field(factory=dict)
+    _waiting: dict[ids.AttemptId, SlotRequest] = attrs.field(factory=dict)
+
+    def configure(self, version: manifest.Manifest, now_ms: int) -> list[SlotDecision]:
+        """Takes over pools, targets and zones; running attempts keep their targets."""
+        self._zones_out = frozenset(zone.name for zone in version.zones if not zone.in_service)
+        self._pools = {pool.name: pool for pool in version.pools}
+        previous = self._loads
+        self._loads = {
+            target.id: _TargetLoad(
+                target, pool, previous[target.id].outstanding if target.id in previous else 0
+            )
+            for pool in version.pools
+            for target in pool.targets
+        }
+        return self.tick(now_ms)
+
+    def acquire(self, request: SlotRequest, now_ms: int) -> SlotDecision:
+        """Grants the least loaded usable target or queues the attempt."""
+        if request.deadline_ms <= now_ms:
+            return self._deny(request)
+        load = self._choose(request)
+        if load is None:
+            self._waiting[request.attempt] = request
+            return SlotQueued(request.attempt)
+        load.outstanding += 1
+        self._granted[request.attempt] = load.target.id
+        return SlotGranted(
+            attempt=request.attempt,
+            target=load.target,
+            pool=load.pool,
+            rule="least-outstanding",
+            figures={"outstanding": load.outstanding, "capacity": load.pool.capacity_warm},
+        )
+
+    def release(
+        self, attempt: ids.AttemptId, report: AttemptReport, now_ms: int
+    ) -> list[SlotDecision]:
+        """Frees the slot and serves waiting attempts in order of arrival."""
+        target_id = self._granted.pop(attempt, None)
+        if target_id is not None and target_id in self._loads:
+            self._loads[target_id].outstanding -= 1
+        return self.tick(now_ms)
+
+    def withdraw(self, attempt: ids.AttemptId, now_ms: int) -> None:
+        """Removes a waiting attempt."""
+        self._waiting.pop(attempt, None)
+
+    def tick(self, now_ms: int) -> list[SlotDecision]:
+        """Tries every waiting attempt once."""
+        decisions: list[SlotDecision] = []
+        waiting = list(self._waiting.values())
+        self._waiting.clear()
+        for request in waiting:
+            decision = self.acquire(request, now_ms)
+            if not isinstance(decision, SlotQueued):
+                decisions.append(decision)
+        return decisions
+
+    def _choose(self, request: SlotRequest) -> _TargetLoad | None:
+        pool = self._pools.get(request.stage.pool)
+        if pool is None:
+            return None
+        usable = [
+            load
+            for load in (self._loads[target.id] for target in pool.targets)
+            if not load.target.leaving
+            and load.target.zone not in self._zones_out
+            and load.outstanding < pool.capacity_warm
+        ]
+        preferred = [load for load in usable if load.target.id not in request.excluded_targets]
+        return min(preferred or usable, key=lambda load: load.outstanding, default=None)
+
+    def _deny(self, request: SlotRequest) -> SlotDenied:
+        failure = errors.DeadlineExceeded(
+            detail=f"The deadline passed while stage {request.stage.name!r} waited for a target."
+        )
+        return SlotDenied(request.attempt, failure)
--- /dev/null
+++ b/src/sesamehold/process/node.py
@@ -0,0 +1,145 @@
+"""Decision state of one host, without input or output."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from typing import Any
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sesamehold.process import clock as clocks
+from sesamehold.process import credentials
+from sesamehold.process import dispatch
+from sesamehold.process import explanations
+from sesamehold.process import ledger
+from sesamehold.process import metrics
+from sesamehold.process import requests
+from sesamehold.process import retry_budget
+from sesamehold.process import settings
+from sesamehold.process import slots
+from sesamehold.request import deadline as deadlines
+from sesamehold.request import errors
+from sesamehold.request import execution
+from sesamehold.request import ids
+from sesamehold.version import manifest
+
+RETRY_BURST = 10.0
+
+
+@attrs.frozen
+class AdmissionQuery:
+    """A decoded submission, as far as admission needs it."""
+
+    credential: str
+    pipeline: str
+    body: dict[str, Any]
+    deadline_ms: int | None
+    priority: int
+    key: str | None
+    first_submission: bool
+
+
+@attrs.define
+class Node:
+    """Everything that one host knows and decides with."""
+
+    config: settings.Settings
+    clock: clocks.Clock
+    rng: random.Random
+    metrics: metrics.Metrics
+    slots: slots.SlotRegistry
+    requests: requests.RequestRegistry
+    credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
+    ledger: ledger.Ledger = attrs.field(factory=ledger.Ledger)
+    explanations: explanations.Explanations = attrs.field(factory=explanations.Explanations)
+    retry_budget: retry_budget.FractionRetryBudget = attrs.field(
+        factory=lambda: retry_budget.FractionRetryBudget(fraction=0.1, burst=RETRY_BURST)
+    )
+    version: manifest.Manifest | None = None
+
+    @classmethod
+    def from_config(cls, config: settings.Settings, clock: clocks.Clock) -> Node:
+        """Returns a node that knows no configuration version yet."""
+        seed = clock.wall_ms() if config.random_seed is None else config.random_seed
+        rng = random.Random(f"{config.host_id}:{seed}")
+        return cls(
+            config=config,
+            clock=clock,
+            rng=rng,
+            metrics=metrics.Metrics.from_config(config),
+            slots=slots.SlotRegistry(dispatch.LeastOutstandingDispatcher(), clock),
+            requests=requests.RequestRegistry(clock, rng),
+        )
+
+    def configure(self, version: manifest.Manifest) -> None:
+        """Puts an accepted configuration version in force on this host."""
+        self.version = version
+        self.credentials.configure(version)
+        self.retry_budget.fraction = version.policy.retry_fraction
+        self.slots.configure(version)
+
+    def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
+        """Admits a submission or refuses it."""
+        if self.version is None or self.requests.draining:
+            return Error(
+                errors.Draining(
+                    detail="This host is starting or stopping; send the request again.",
+                    retry_after_ms=0,
+                )
+            )
+        account = self.credentials.account_of(query.credential)
+        if account is None:
+            return Error(errors.Unauthenticated(detail="Send `Authorization: Bearer` credentials."))
+        pipeline = self.version.pipeline(query.pipeline)
+        if pipeline is None:
+            return Error(errors.NotFound(detail=f"There is no pipeline {query.pipeline!r}."))
+        if pipeline.callers and account.name not in pipeline.callers:
+            return Error(
+                errors.Forbidden(
+                    detail=f"Account {account.name!r} may not call pipeline {pipeline.name!r}."
+                )
+            )
+        if len(self.requests) >= self.config.limits.open_requests:
+            return Error(
+                errors.LimitExceeded(
+                    detail="This host has too many open requests.", retry_after_ms=1_000
+                )
+            )
+        return Ok(self._request(query, account, pipeline))
+
+    def _request(
+        self, query: AdmissionQuery, account: manifest.Account, pipeline: manifest.Pipeline
+    ) -> execution.Request:
+        request_id = self.requests.new_id()
+        budget_ms = min(query.deadline_ms or pipeline.default_deadline_ms, pipeline.max_deadline_ms)
+        return execution.Request(
+            request_id=request_id,
+            account=account.name,
+            pipeline=pipeline,
+            body=query.body,
+            deadline=deadlines.Deadline.from_budget(self.clock.now_ms(), budget_ms),
+            priority=query.priority,
+            key=_key_of(query, account.name, pipeline, request_id),
+            fingerprint=_fingerprint(account.name, pipeline.name, query.body),
+            first_submission=query.first_submission,
+        )
+
+
+def _key_of(
+    query: AdmissionQuery, account: str, pipeline: manifest.Pipeline, request_id: str
+) -> ids.ExecutionKey | None:
+    if pipeline.repeatable:
+        return None
+    if query.key is None:
+        return ids.ExecutionKey.from_host(account, request_id)
+    return ids.ExecutionKey.from_caller(account, query.key)
+
+
+def _fingerprint(account: str, pipeline: str, body: dict[str, Any]) -> bytes:
+    text = json.dumps([account, pipeline, body], sort_keys=True, separators=(",", ":"))
+    return hashlib.blake2b(text.encode(), digest_size=16).digest()
--- /dev/null
+++ b/src/sesamehold/process/slots.py
@@ -0,0 +1,84 @@
+"""Waiting for target slots on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from sesamehold.process import clock as clocks
+from sesamehold.process import dispatch
+from sesamehold.request import ids
+from sesamehold.version import manifest
+
+
+@attrs.define
+class SlotRegistry:
+    """Connects requests that wait with the decisions of the dispatcher."""
+
+    dispatcher: dispatch.Dispatcher
+    clock: clocks.Clock
+    _pools: dict[str, manifest.Pool] = attrs.field(factory=dict)
+    _waiters: dict[ids.AttemptId, asyncio.Future[dispatch.SlotGranted | dispatch.SlotDenied]] = (
+        attrs.field(factory=dict)
+    )
+
+    async def acquire(
+        self, request: dispatch.SlotRequest
+    ) -> dispatch.SlotGranted | dispatch.SlotDenied:
+        """Returns the grant or the denial, waiting for it if necessary."""
+        decision = self.dispatcher.acquire(request, self.clock.now_ms())
+        if not isinstance(decision, dispatch.SlotQueued):
+            return decision
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[request.attempt] = waiter
+        try:
+            result: dispatch.SlotGranted | dispatch.SlotDenied = await waiter
+        except asyncio.CancelledError:
+            self._give_up(request.attempt, waiter)
+            raise
+        finally:
+            self._waiters.pop(request.attempt, None)
+        return result
+
+    def release(self, attempt: ids.AttemptId, report: dispatch.AttemptReport) -> None:
+        """Returns a granted slot."""
+        self._resolve(self.dispatcher.release(attempt, report, self.clock.now_ms()))
+
+    def configure(self, version: manifest.Manifest) -> None:
+        """Passes a new configuration version to the dispatcher."""
+        self._pools = {pool.name: pool for pool in version.pools}
+        self._resolve(self.dispatcher.configure(version, self.clock.now_ms()))
+
+    def pool(self, name: str) -> manifest.Pool | None:
+        """Returns a pool of the version in force."""
+        return self._pools.get(name)
+
+    def tick(self) -> None:
+        """Lets the dispatcher act on the passing of time."""
+        self._resolve(self.dispatcher.tick(self.clock.now_ms()))
+
+    def _give_up(
+        self,
+        attempt: ids.AttemptId,
+        waiter: asyncio.Future[dispatch.SlotGranted | dispatch.SlotDenied],
+    ) -> None:
+        granted = waiter.done() and not waiter.cancelled()
+        if granted and isinstance(waiter.result(), dispatch.SlotGranted):
+            # The grant and the cancellation happened in the same loop iteration.
+            self.release(attempt, dispatch.AttemptReport(fault=None, duration_ms=0, sent=False))
+        else:
+            self.dispatcher.withdraw(attempt, self.clock.now_ms())
+
+    def _resolve(self, decisions: list[dispatch.SlotDecision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, dispatch.SlotQueued):
+                continue
+            waiter = self._waiters.get(decision.attempt)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision)
+            elif isinstance(decision, dispatch.SlotGranted):
+                self.release(
+                    decision.attempt,
+                    dispatch.AttemptReport(fault=None, duration_ms=0, sent=False),
+                )
--- /dev/null
+++ b/src/sesamehold/request/driver.py
@@ -0,0 +1,329 @@
+"""Performs the actions of one request execution on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+from typing import TypeAlias
+
+import attrs
+from expression import Result
+
+from sesamehold.process import clock as clocks
+from sesamehold.process import dispatch
+from sesamehold.process import explanations
+from sesamehold.process import ledger
+from sesamehold.process import metrics
+from sesamehold.process import slots
+from sesamehold.request import calls
+from sesamehold.request import events
+from sesamehold.request import execution
+from sesamehold.request import ids
+
+_MS_PER_S = 1_000
+
+_Final: TypeAlias = events.DeliverAnswer | events.DeliverHeldAnswer | events.DeliverFailure
+
+
+@attrs.frozen
+class Services:
+    """What a request uses of its process and connections."""
+
+    clock: clocks.Clock
+    slots: slots.SlotRegistry
+    targets: calls.TargetConnector
+    claims: calls.ExecutionClaims
+    ledger: ledger.Ledger
+    metrics: metrics.Metrics
+
+
+@attrs.define(eq=False)
+class RequestDriver:
+    """Drives one request from admission to its final answer."""
+
+    execution: execution.RequestExecution
+    services: Services
+    sink: calls.AnswerSink
+    trace: explanations.Trace
+    _started_ms: int = 0
+    _final: asyncio.Future[_Final] = attrs.field(init=False)
+    _attempts: dict[ids.AttemptId, asyncio.Task[None]] = attrs.field(factory=dict)
+    _background: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Runs the request; returns after the final answer was written and all work has ended."""
+        loop = asyncio.get_running_loop()
+        self._final = loop.create_future()
+        self._started_ms = self.services.clock.now_ms()
+        remaining_ms = self.execution.request.deadline.remaining_ms(self._started_ms)
+        timer = loop.call_later(remaining_ms / _MS_PER_S, self._on_deadline)
+        try:
+            self._perform(self.execution.start(self._started_ms))
+            await self._deliver(await self._final)
+        except ConnectionError:
+            # The caller is gone; the execution ends, and its work is cancelled at the targets.
+            self.cancel()
+        finally:
+            timer.cancel()
+            await self._settle()
+
+    def cancel(self) -> None:
+        """Ends the request because its caller cancelled it."""
+        self._feed(events.CancelRequested())
+
+    # ---- actions ----
+
+    def _feed(self, event: events.Event) -> None:
+        self._perform(self.execution.handle(event, self.services.clock.now_ms()))
+
+    def _on_deadline(self) -> None:
+        self._feed(events.DeadlinePassed())
+
+    def _perform(self, actions: Sequence[events.Action]) -> None:
+        for action in actions:
+            self._perform_one(action)
+
+    def _perform_one(self, action: events.Action) -> None:
+        match action:
+            case events.StartAttempt():
+                task = asyncio.create_task(self._run_attempt(action))
+                self._attempts[action.attempt] = task
+            case events.CancelAttempt():
+                task_or_none = self._attempts.get(action.attempt)
+                if task_or_none is not None:
+                    task_or_none.cancel()
+            case events.ClaimKey():
+                self._spawn(self._claim(action))
+            case events.ReleaseClaim():
+                self.services.claims.release(action.key)
+            case events.FinishClaim():
+                fingerprint = self.execution.request.fingerprint
+                self.services.claims.finish(action.key, fingerprint, action.answer)
+            case events.BookCost():
+                self._book(action)
+            case events.DeliverPiece():
+                # Pieces reach the sink through `_on_pieces`, which waits for slow callers.
+                raise AssertionError("pieces are delivered by the attempt that received them")
+            case events.DeliverAnswer() | events.DeliverHeldAnswer() | events.DeliverFailure():
+                if not self._final.done():
+                    self._final.set_result(action)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _deliver(self, final: _Final) -> None:
+        match final:
+            case events.DeliverAnswer():
+                self._trace("answered")
+                self.services.metrics.count("requests.answered")
+                await self.sink.answer(final.answer)
+            case events.DeliverHeldAnswer():
+                self._trace("answered-from-store")
+                self.services.metrics.count("requests.answered_from_store")
+                await self.sink.held_answer(final.status, final.content_type, final.body)
+            case events.DeliverFailure():
+                failure = final.failure
+                self._trace("failed", failure.kind, ran=failure.ran.value, detail=failure.detail)
+                self.services.metrics.count(f"requests.failed.{failure.kind}")
+                await self.sink.failure(failure)
+
+    async def _settle(self) -> None:
+        attempts = list(self._attempts.values())
+        for task in attempts:
+            task.cancel()
+        await asyncio.gather(*attempts, return_exceptions=True)
+        await asyncio.gather(*self._background, return_exceptions=True)
+
+    # ---- claims and costs ----
+
+    async def _claim(self, action: events.ClaimKey) -> None:
+        request = self.execution.request
+        wait_ms = request.deadline.remaining_ms(self.services.clock.now_ms())
+        event = await self.services.claims.claim(
+            action.key, request.fingerprint, request.first_submission, wait_ms
+        )
+        self._trace("claim", type(event).__name__)
+        self._feed(event)
+
+    def _book(self, action: events.BookCost) -> None:
+        request = self.execution.request
+        pool = self.services.slots.pool(action.stage.pool)
+        cost_per_unit = pool.cost_per_unit if pool is not None else 0
+        entry = ledger.CostEntry(
+            attempt=action.attempt.encode(),
+            account=request.account,
+            pipeline=request.pipeline.name,
+            stage=action.stage.name,
+            pool=action.stage.pool,
+            units=action.usage.units,
+            cost=action.usage.units * cost_per_unit,
+            wasted=action.wasted,
+        )
+        self.services.ledger.book(entry)
+        self._trace("cost", units=entry.units, cost=entry.cost, wasted=entry.wasted)
+
+    # ---- attempts ----
+
+    async def _run_attempt(self, action: events.StartAttempt) -> None:
+        try:
+            event = await self._attempt(action)
+        finally:
+            self._attempts.pop(action.attempt, None)
+        self._feed(event)
+
+    async def _attempt(
+        self, action: events.StartAttempt
+    ) -> events.AttemptSucceeded | events.AttemptFailed | events.SlotDenied:
+        decision = await self.services.slots.acquire(self._slot_request(action))
+        if isinstance(decision, dispatch.SlotDenied):
+            self._trace("slot-denied", decision.failure.kind, stage=action.stage.name)
+            return events.SlotDenied(action.attempt, decision.failure)
+        self._trace(
+            "attempt",
+            decision.rule,
+            stage=action.stage.name,
+            number=action.attempt.number,
+            target=decision.target.id,
+            **decision.figures,
+        )
+        return await self._call(action, decision)
+
+    async def _call(
+        self, action: events.StartAttempt, slot: dispatch.SlotGranted
+    ) -> events.AttemptSucceeded | events.AttemptFailed:
+        sent_ms = self.services.clock.now_ms()
+        progress = _Progress()
+        call = self._target_call(action, slot, progress)
+
+        async def on_pieces(pieces: Sequence[calls.Piece]) -> bool:
+            if progress.first_piece_ms is None:
+                progress.first_piece_ms = self.services.clock.now_ms() - sent_ms
+            return await self._on_pieces(action.attempt, pieces)
+
+        result: Result[calls.CallSuccess, calls.CallFault] | None = None
+        try:
+            result = await self.services.targets.call(call, on_pieces)
+        except asyncio.CancelledError:
+            if progress.written:
+                # A task of its own: a second cancellation must not cut the call that cancels.
+                self._spawn(self._cancel_at_target(action, slot))
+            raise
+        finally:
+            duration_ms = self.services.clock.now_ms() - sent_ms
+            self.services.slots.release(action.attempt, _report(result, progress, duration_ms))
+        match result:
+            case Result(tag="ok", ok=success):
+                return events.AttemptSucceeded(action.attempt, success.output, success.usage)
+            case Result(error=fault):
+                self._trace("attempt-failed", fault.fault.value, ran=fault.ran.value)
+                self.services.metrics.count(f"attempts.failed.{fault.fault.value}")
+                return events.AttemptFailed(
+                    action.attempt, fault.fault, fault.ran, fault.usage, slot.target.id
+                )
+
+    async def _on_pieces(self, attempt: ids.AttemptId, pieces: Sequence[calls.Piece]) -> bool:
+        accept = self.execution.accept_piece
+        fresh: list[calls.Piece] = []
+        for piece in pieces:
+            accepted = accept(attempt, piece.index, piece.token_count, piece.text)
+            if accepted is None:
+                return False
+            if accepted:
+                fresh.append(piece)
+        if fresh and self.execution.streams_to_caller:
+            await self.sink.pieces(fresh)
+        return True
+
+    async def _cancel_at_target(
+        self, action: events.StartAttempt, slot: dispatch.SlotGranted
+    ) -> None:
+        usage = await self.services.targets.cancel(slot.target, action.attempt)
+        if usage is not None and usage.units > 0:
+            self._book(events.BookCost(action.attempt, action.stage, usage, wasted=True))
+
+    def _slot_request(self, action: events.StartAttempt) -> dispatch.SlotRequest:
+        request = self.execution.request
+        return dispatch.SlotRequest(
+            attempt=action.attempt,
+            account=request.account,
+            pipeline=request.pipeline.name,
+            stage=action.stage,
+            deadline_ms=request.deadline.at_ms,
+            later_stages=request.pipeline.stages[action.attempt.stage_index + 1 :],
+            priority=request.priority,
+            excluded_targets=action.excluded_targets,
+            fingerprint=request.fingerprint,
+        )
+
+    def _target_call(
+        self, action: events.StartAttempt, slot: dispatch.SlotGranted, progress: _Progress
+    ) -> calls.TargetCall:
+        request = self.execution.request
+        key = None if action.stage.repeatable else request.key
+
+        def before_write() -> bool:
+            if not self.execution.may_dispatch(action.attempt, self.services.clock.now_ms()):
+                return False
+            if key is not None and not self.services.claims.may_dispatch(key):
+                return False
+            progress.written = True
+            self.execution.note_dispatched(action.attempt)
+            return True
+
+        return calls.TargetCall(
+            attempt=action.attempt,
+            target=slot.target,
+            stage=action.stage,
+            body=action.body,
+            remaining_ms=request.deadline.remaining_ms(self.services.clock.now_ms()),
+            priority=request.priority,
+            account=request.account,
+            key=key,
+            resume_index=action.resume_index,
+            resume_text=action.resume_text,
+            before_write=before_write,
+        )
+
+    def _trace(self, kind: str, rule: str = "", **figures: Any) -> None:
+        at_ms = self.services.clock.now_ms() - self._started_ms
+        self.trace.records.append(explanations.TraceRecord(at_ms, kind, rule, figures))
+
+
+@attrs.define
+class _Progress:
+    written: bool = False
+    first_piece_ms: int | None = None
+
+
+def _report(
+    result: Result[calls.CallSuccess, calls.CallFault] | None,
+    progress: _Progress,
+    duration_ms: int,
+) -> dispatch.AttemptReport:
+    match result:
+        case Result(tag="ok", ok=success):
+            return dispatch.AttemptReport(
+                fault=None,
+                duration_ms=duration_ms,
+                first_piece_ms=progress.first_piece_ms,
+                load=success.load,
+                cached_units=success.usage.cached_units,
+            )
+        case Result(tag="error", error=fault):
+            return dispatch.AttemptReport(
+                fault=fault.fault,
+                duration_ms=duration_ms,
+                first_piece_ms=progress.first_piece_ms,
+                load=fault.load,
+                sent=progress.written,
+            )
+        case _:
+            return dispatch.AttemptReport(
+                fault=events.AttemptFault.CANCELLED,
+                duration_ms=duration_ms,
+                first_piece_ms=progress.first_piece_ms,
+                sent=progress.written,
+            )
--- /dev/null
+++ b/src/sesamehold/request/errors.py
@@ -0,0 +1,205 @@
+"""Typed failures of a request.
+
+Every failure has a stable `kind`, an HTTP status and a truthful statement of whether the
+request was run. Encoders turn them into `application/problem+json`.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import ClassVar
+
+import attrs
+
+
+class Ran(enum.Enum):
+    """Whether the non-repeatable part of a request was run."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """Base of all failures that a caller can receive.
+
+    Attributes:
+        detail: One sentence that tells the caller what happened and what to do.
+        ran: Whether the request was run.
+        retry_after_ms: Earliest sensible time for another try, in milliseconds from now.
+    """
+
+    kind: ClassVar[str] = "failure"
+    title: ClassVar[str] = "Request failed"
+    status: ClassVar[int] = 500
+
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_ms: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class BadRequest(Failure):
+    """The request is malformed; `field` names the offending header or body path."""
+
+    kind: ClassVar[str] = "bad-request"
+    title: ClassVar[str] = "Malformed request"
+    status: ClassVar[int] = 400
+
+    field: str
+
+
+@attrs.frozen(kw_only=True)
+class Unauthenticated(Failure):
+    """The credential is missing or matches no client account."""
+
+    kind: ClassVar[str] = "unauthenticated"
+    title: ClassVar[str] = "Missing or unknown credential"
+    status: ClassVar[int] = 401
+
+
+@attrs.frozen(kw_only=True)
+class Forbidden(Failure):
+    """The client account may not use the pipeline or the request."""
+
+    kind: ClassVar[str] = "forbidden"
+    title: ClassVar[str] = "Not allowed for this client account"
+    status: ClassVar[int] = 403
+
+
+@attrs.frozen(kw_only=True)
+class NotFound(Failure):
+    """The pipeline, request or path does not exist."""
+
+    kind: ClassVar[str] = "not-found"
+    title: ClassVar[str] = "Not found"
+    status: ClassVar[int] = 404
+
+
+@attrs.frozen(kw_only=True)
+class TooLarge(Failure):
+    """The body exceeds the configured size."""
+
+    kind: ClassVar[str] = "too-large"
+    title: ClassVar[str] = "Body too large"
+    status: ClassVar[int] = 413
+
+
+@attrs.frozen(kw_only=True)
+class KeyReused(Failure):
+    """The idempotency key was used before with another body."""
+
+    kind: ClassVar[str] = "key-reused"
+    title: ClassVar[str] = "Idempotency key reused with another body"
+    status: ClassVar[int] = 422
+
+
+@attrs.frozen(kw_only=True)
+class KeyExpired(Failure):
+    """The idempotency key is older than the retention period."""
+
+    kind: ClassVar[str] = "key-expired"
+    title: ClassVar[str] = "Idempotency key expired"
+    status: ClassVar[int] = 409
+
+
+@attrs.frozen(kw_only=True)
+class LimitExceeded(Failure):
+    """A limit of the client account is reached."""
+
+    kind: ClassVar[str] = "limit-exceeded"
+    title: ClassVar[str] = "Limit of the client account reached"
+    status: ClassVar[int] = 429
+
+
+@attrs.frozen(kw_only=True)
+class DeadlineUnreachable(Failure):
+    """The remaining time does not suffice for the remaining stages."""
+
+    kind: ClassVar[str] = "deadline-unreachable"
+    title: ClassVar[str] = "Deadline cannot be met"
+    status: ClassVar[int] = 503
+
+
+@attrs.frozen(kw_only=True)
+class DeadlineExceeded(Failure):
+    """The deadline passed before the answer was complete."""
+
+    kind: ClassVar[str] = "deadline-exceeded"
+    title: ClassVar[str] = "Deadline exceeded"
+    status: ClassVar[int] = 504
+
+
+@attrs.frozen(kw_only=True)
+class NoTargetAvailable(Failure):
+    """No target of the stage's pool can take work."""
+
+    kind: ClassVar[str] = "no-target"
+    title: ClassVar[str] = "No target available"
+    status: ClassVar[int] = 503
+
+
+@attrs.frozen(kw_only=True)
+class StageFailed(Failure):
+    """A stage failed on every attempt that its retry budget allowed."""
+
+    kind: ClassVar[str] = "stage-failed"
+    title: ClassVar[str] = "A stage failed"
+    status: ClassVar[int] = 502
+
+    stage: str
+
+
+@attrs.frozen(kw_only=True)
+class OutcomeUnknown(Failure):
+    """A non-repeatable stage may or may not have run; it is not sent again."""
+
+    kind: ClassVar[str] = "outcome-unknown"
+    title: ClassVar[str] = "Outcome unknown"
+    status: ClassVar[int] = 502
+
+
+@attrs.frozen(kw_only=True)
+class AnswerUnavailable(Failure):
+    """The key has finished, but its answer is no longer held."""
+
+    kind: ClassVar[str] = "answer-unavailable"
+    title: ClassVar[str] = "Answer no longer held"
+    status: ClassVar[int] = 410
+
+
+@attrs.frozen(kw_only=True)
+class ClaimUnavailable(Failure):
+    """The witnesses of the key cannot be reached in sufficient number."""
+
+    kind: ClassVar[str] = "claim-unavailable"
+    title: ClassVar[str] = "At-most-once execution cannot be ensured now"
+    status: ClassVar[int] = 503
+
+
+@attrs.frozen(kw_only=True)
+class CrashSuspect(Failure):
+    """Targets crashed while they ran this request, so it is not run again."""
+
+    kind: ClassVar[str] = "crash-suspect"
+    title: ClassVar[str] = "Request crashes its targets"
+    status: ClassVar[int] = 422
+
+
+@attrs.frozen(kw_only=True)
+class Draining(Failure):
+    """The host is stopping and takes no new requests."""
+
+    kind: ClassVar[str] = "draining"
+    title: ClassVar[str] = "Host is stopping"
+    status: ClassVar[int] = 503
+
+
+@attrs.frozen(kw_only=True)
+class Cancelled(Failure):
+    """The caller cancelled the request."""
+
+    kind: ClassVar[str] = "cancelled"
+    title: ClassVar[str] = "Cancelled by the caller"
+    status: ClassVar[int] = 499
--- /dev/null
+++ b/src/sesamehold/request/execution.py
@@ -0,0 +1,372 @@
+"""State machine of one request: events in, actions out, no input or output of its own."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import attrs
+
+from sesamehold.process import retry_budget
+from sesamehold.request import deadline as deadlines
+from sesamehold.request import errors
+from sesamehold.request import events
+from sesamehold.request import ids
+from sesamehold.request import stream
+from sesamehold.version import manifest
+
+MAX_ATTEMPTS_PER_STAGE = 6
+
+# Faults after which another target has a fair chance to answer.
+_TRANSIENT_FAULTS = frozenset(events.AttemptFault) - {events.AttemptFault.CANCELLED}
+
+
+@attrs.frozen
+class Request:
+    """An admitted request.
+
+    Attributes:
+        request_id: UUIDv7 as 32 hexadecimal digits.
+        account: Client account that caused it.
+        pipeline: Pipeline of the version that admitted it.
+        body: The caller's JSON object.
+        deadline: End-to-end deadline.
+        priority: Larger is more urgent; passed to engines.
+        key: Idempotency key, if the pipeline has a stage that may not be repeated.
+        fingerprint: Hash of account, pipeline and body.
+        first_submission: True if the caller declared that it never sent the key before.
+    """
+
+    request_id: str
+    account: str
+    pipeline: manifest.Pipeline
+    body: dict[str, Any]
+    deadline: deadlines.Deadline
+    priority: int = 0
+    key: ids.ExecutionKey | None = None
+    fingerprint: bytes = b""
+    first_submission: bool = False
+
+
+class Phase(enum.Enum):
+    """What an execution waits for."""
+
+    NEW = "new"
+    RUNNING = "running"
+    CLAIMING = "claiming"
+    ENDED = "ended"
+
+
+class ClaimState(enum.Enum):
+    """State of the execution claim."""
+
+    NONE = "none"
+    REQUESTED = "requested"
+    GRANTED = "granted"
+    DISPATCHED = "dispatched"
+
+
+@attrs.define
+class RequestExecution:
+    """Runs the stages of one request in order.
+
+    Each stage has at most one open attempt. Events of other attempts are late: their cost is
+    booked as wasted and nothing else follows from them.
+    """
+
+    request: Request
+    budget: retry_budget.RetryBudget
+    phase: Phase = Phase.NEW
+    stage_index: int = 0
+    outputs: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    _claim: ClaimState = ClaimState.NONE
+    _attempt: ids.AttemptId | None = None
+    _attempt_number: int = 0
+    _executed_any: bool = False
+    _open_dispatched: bool = False
+    _failed_targets: frozenset[str] = frozenset()
+    _position: stream.StreamPosition = attrs.field(factory=stream.StreamPosition)
+    _booked: set[ids.AttemptId] = attrs.field(factory=set)
+
+    # ---- public surface ----
+
+    def start(self, now_ms: int) -> list[events.Action]:
+        """Starts the first stage."""
+        self.phase = Phase.RUNNING
+        return self._begin_stage(now_ms)
+
+    def handle(self, event: events.Event, now_ms: int) -> list[events.Action]:
+        """Returns the actions that follow from one event."""
+        match event:
+            case events.PieceReceived():
+                return self._on_piece(event, now_ms)
+            case events.AttemptSucceeded():
+                return self._on_success(event, now_ms)
+            case events.AttemptFailed():
+                return self._on_failure(event, now_ms)
+            case events.SlotDenied():
+                return self._on_slot_denied(event)
+            case events.ClaimGranted():
+                return self._on_claim_granted(now_ms)
+            case events.ClaimDenied():
+                return self._on_claim_denied(event)
+            case events.AnswerHeld():
+                return self._on_answer_held(event)
+            case events.CancelRequested():
+                if self._claim is ClaimState.DISPATCHED:
+                    # The non-repeatable call goes on, so that a repeat of the key gets its answer.
+                    return []
+                return self._abort(errors.Cancelled(detail="The caller cancelled the request."))
+            case events.DeadlinePassed():
+                return self._on_deadline()
+
+    def may_dispatch(self, attempt: ids.AttemptId, now_ms: int) -> bool:
+        """Returns whether the attempt may still be sent; asked right before it is written."""
+        return (
+            self.phase is Phase.RUNNING
+            and attempt == self._attempt
+            and not self.request.deadline.passed(now_ms)
+        )
+
+    def note_dispatched(self, attempt: ids.AttemptId) -> None:
+        """Notes that bytes of the attempt may reach its target from now on."""
+        if attempt != self._attempt:
+            return
+        self._open_dispatched = True
+        if not self._stage.repeatable:
+            self._claim = ClaimState.DISPATCHED
+
+    def accept_piece(
+        self, attempt: ids.AttemptId, index: int, token_count: int, text: str
+    ) -> bool | None:
+        """Takes one piece of the open attempt without building an event.
+
+        Returns:
+            True to deliver the piece, False to drop it, None if the stream has a gap.
+        """
+        if attempt is not self._attempt and attempt != self._attempt:
+            return False
+        return self._position.accept(index, token_count, text)
+
+    @property
+    def streams_to_caller(self) -> bool:
+        """Returns whether the pieces of the current stage belong to the caller's stream."""
+        return self.stage_index == streaming_stage_index(self.request.pipeline)
+
+    # ---- stages ----
+
+    @property
+    def _stage(self) -> manifest.Stage:
+        return self.request.pipeline.stages[self.stage_index]
+
+    def _begin_stage(self, now_ms: int) -> list[events.Action]:
+        self._attempt = None
+        self._attempt_number = 0
+        self._failed_targets = frozenset()
+        self._position = stream.StreamPosition()
+        if not self._stage.repeatable and self._claim is ClaimState.NONE:
+            return self._claim_key()
+        self.budget.record_first_attempt(self.request.account, now_ms)
+        return [self._next_attempt()]
+
+    def _claim_key(self) -> list[events.Action]:
+        if self.request.key is None:
+            raise ValueError("a pipeline with a non-repeatable stage needs an execution key")
+        self.phase = Phase.CLAIMING
+        self._claim = ClaimState.REQUESTED
+        return [events.ClaimKey(self.request.key)]
+
+    def _next_attempt(self) -> events.StartAttempt:
+        self._attempt_number += 1
+        self._open_dispatched = False
+        self._attempt = ids.AttemptId(
+            self.request.request_id, self.stage_index, self._attempt_number
+        )
+        return events.StartAttempt(
+            attempt=self._attempt,
+            stage=self._stage,
+            body={"input": self.request.body, "outputs": dict(self.outputs)},
+            excluded_targets=self._failed_targets,
+            resume_index=self._position.next_index,
+            resume_text=self._position.text(),
+        )
+
+    # ---- events ----
+
+    def _on_piece(self, event: events.PieceReceived, now_ms: int) -> list[events.Action]:
+        accepted = self.accept_piece(event.attempt, event.index, event.token_count, event.text)
+        if accepted is None:
+            gap = events.AttemptFailed(
+                event.attempt, events.AttemptFault.BAD_ANSWER, errors.Ran.UNKNOWN
+            )
+            return [events.CancelAttempt(event.attempt), *self._on_failure(gap, now_ms)]
+        if accepted and self.streams_to_caller:
+            return [events.DeliverPiece(event.index, event.token_count, event.text)]
+        return []
+
+    def _on_success(self, event: events.AttemptSucceeded, now_ms: int) -> list[events.Action]:
+        if event.attempt != self._attempt or self.phase is not Phase.RUNNING:
+            return self._book(event.attempt, event.usage, wasted=True)
+        self._executed_any = True
+        actions = self._book(event.attempt, event.usage, wasted=False)
+        self._attempt = None
+        self.outputs[self._stage.name] = self._with_streamed_text(event.output)
+        if self.stage_index + 1 < len(self.request.pipeline.stages):
+            self.stage_index += 1
+            return actions + self._begin_stage(now_ms)
+        return actions + self._finish()
+
+    def _with_streamed_text(self, output: dict[str, Any]) -> dict[str, Any]:
+        # A resumed stream reports only the text of its last attempt.
+        if self._position.next_index == 0:
+            return output
+        return {**output, "text": self._position.text()}
+
+    def _finish(self) -> list[events.Action]:
+        answer = {
+            "request_id": self.request.request_id,
+            "pipeline": self.request.pipeline.name,
+            "outputs": self.outputs,
+        }
+        self.phase = Phase.ENDED
+        actions: list[events.Action] = []
+        if self._claim is not ClaimState.NONE and self.request.key is not None:
+            actions.append(events.FinishClaim(self.request.key, answer))
+        actions.append(events.DeliverAnswer(answer))
+        return actions
+
+    def _on_failure(self, event: events.AttemptFailed, now_ms: int) -> list[events.Action]:
+        actions = self._book(event.attempt, event.usage, wasted=True)
+        if event.attempt != self._attempt or self.phase is not Phase.RUNNING:
+            return actions
+        self._open_dispatched = False
+        if event.ran is not errors.Ran.NO:
+            self._executed_any = True
+        if event.target_id is not None:
+            self._failed_targets |= {event.target_id}
+        if not self._stage.repeatable and event.ran is errors.Ran.NO:
+            # The target stated that it did not execute the call.
+            self._claim = ClaimState.GRANTED
+        if self._may_retry(event, now_ms):
+            return [*actions, self._next_attempt()]
+        return actions + self._end(self._failure_of(event))
+
+    def _may_retry(self, event: events.AttemptFailed, now_ms: int) -> bool:
+        repeatable = self._stage.repeatable or event.ran is errors.Ran.NO
+        return (
+            repeatable
+            and event.fault in _TRANSIENT_FAULTS
+            and self._attempt_number < MAX_ATTEMPTS_PER_STAGE
+            and not self.request.deadline.passed(now_ms)
+            and self.budget.try_spend(self.request.account, now_ms)
+        )
+
+    def _failure_of(self, event: events.AttemptFailed) -> errors.Failure:
+        if self._claim is ClaimState.DISPATCHED and not self._stage.repeatable:
+            return errors.OutcomeUnknown(
+                detail=f"Stage {self._stage.name!r} ended with {event.fault.value}; it may have "
+                "run and is not sent again.",
+            )
+        return errors.StageFailed(
+            detail=f"Stage {self._stage.name!r} failed with {event.fault.value} after "
+            f"{self._attempt_number} attempts.",
+            stage=self._stage.name,
+        )
+
+    def _on_slot_denied(self, event: events.SlotDenied) -> list[events.Action]:
+        if event.attempt != self._attempt or self.phase is not Phase.RUNNING:
+            return []
+        return self._end(event.failure)
+
+    def _on_claim_granted(self, now_ms: int) -> list[events.Action]:
+        if self.phase is not Phase.CLAIMING:
+            return [events.ReleaseClaim(self.request.key)] if self.request.key else []
+        self.phase = Phase.RUNNING
+        self._claim = ClaimState.GRANTED
+        self.budget.record_first_attempt(self.request.account, now_ms)
+        return [self._next_attempt()]
+
+    def _on_claim_denied(self, event: events.ClaimDenied) -> list[events.Action]:
+        if self.phase is not Phase.CLAIMING:
+            return []
+        # The claim round has released its votes and knows best whether the key was run.
+        self.phase = Phase.ENDED
+        return [events.DeliverFailure(event.failure)]
+
+    def _on_answer_held(self, event: events.AnswerHeld) -> list[events.Action]:
+        if self.phase is not Phase.CLAIMING:
+            return []
+        self.phase = Phase.ENDED
+        return [events.DeliverHeldAnswer(event.status, event.content_type, event.body)]
+
+    def _on_deadline(self) -> list[events.Action]:
+        return self._abort(
+            errors.DeadlineExceeded(
+                detail=f"The deadline passed in stage {self._stage.name!r}.",
+            )
+        )
+
+    # ---- end ----
+
+    def _abort(self, failure: errors.Failure) -> list[events.Action]:
+        if self.phase is Phase.ENDED:
+            return []
+        actions: list[events.Action] = []
+        if self._attempt is not None:
+            actions.append(events.CancelAttempt(self._attempt))
+        return actions + self._end(failure)
+
+    def _end(self, failure: errors.Failure) -> list[events.Action]:
+        self.phase = Phase.ENDED
+        actions: list[events.Action] = []
+        if self.request.key is not None:
+            match self._claim:
+                case ClaimState.REQUESTED | ClaimState.GRANTED:
+                    actions.append(events.ReleaseClaim(self.request.key))
+                case ClaimState.DISPATCHED:
+                    actions.append(events.FinishClaim(self.request.key, None))
+                case ClaimState.NONE:
+                    pass
+        actions.append(events.DeliverFailure(attrs.evolve(failure, ran=self._ran())))
+        return actions
+
+    def _ran(self) -> errors.Ran:
+        """Returns what is known about the execution of this request.
+
+        For a pipeline with a non-repeatable stage only that stage counts, because a caller decides
+        by it whether to send the request again under a new key.
+        """
+        if self.request.pipeline.repeatable:
+            executed = self._executed_any or self._open_dispatched
+            return errors.Ran.UNKNOWN if executed else errors.Ran.NO
+        if self._claim is ClaimState.DISPATCHED:
+            return errors.Ran.UNKNOWN
+        if self._claim is ClaimState.REQUESTED:
+            return errors.Ran.NO if self._known_first() else errors.Ran.UNKNOWN
+        if self._claim is ClaimState.NONE and not self._known_first():
+            # An earlier submission of the same key may have run through another host.
+            return errors.Ran.UNKNOWN
+        return errors.Ran.NO
+
+    def _known_first(self) -> bool:
+        key = self.request.key
+        return key is None or key.host_made or self.request.first_submission
+
+    def _book(
+        self, attempt: ids.AttemptId, usage: events.Usage, *, wasted: bool
+    ) -> list[events.Action]:
+        if attempt in self._booked or usage.units == 0:
+            return []
+        self._booked.add(attempt)
+        stage = self.request.pipeline.stages[attempt.stage_index]
+        return [events.BookCost(attempt, stage, usage, wasted)]
+
+
+def streaming_stage_index(pipeline: manifest.Pipeline) -> int | None:
+    """Returns the index of the last generation stage, whose pieces are streamed to the caller."""
+    indexes = [
+        index
+        for index, stage in enumerate(pipeline.stages)
+        if stage.kind is manifest.StageKind.GENERATE
+    ]
+    return indexes[-1] if indexes else None
--- /dev/null
+++ b/testing/test_layout.py
@@ -0,0 +1,87 @@
+"""Guards the layout by life span and the rules of shape against imports that break them."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+
+import pytest
+
+import sesamehold
+
+ROOT = pathlib.Path(sesamehold.__file__).parent
+ORDER = ("request", "connection", "version", "process")
+# Modules that hold only value types, so a longer life may import them.
+VOCABULARY = {
+    "sesamehold.request.errors",
+    "sesamehold.request.events",
+    "sesamehold.request.ids",
+    "sesamehold.request.deadline",
+    "sesamehold.request.execution",
+    "sesamehold.request.calls",
+}
+# The modules that put the parts of a process together.
+COMPOSITION_ROOTS = {"process/daemon.py", "process/cli.py"}
+FORBIDDEN = {"threading", "multiprocessing", "subprocess", "concurrent.futures", "dataclasses"}
+TRANSPORTS = {"aiohttp", "grpclib", "asyncio"}
+
+
+def _modules() -> list[pathlib.Path]:
+    return [path for path in sorted(ROOT.rglob("*.py")) if "wire" not in path.parts]
+
+
+def _imports(path: pathlib.Path) -> set[str]:
+    names: set[str] = set()
+    for item in ast.walk(ast.parse(path.read_text())):
+        if isinstance(item, ast.Import):
+            names.update(alias.name for alias in item.names)
+        elif isinstance(item, ast.ImportFrom) and item.module is not None:
+            names.update(f"{item.module}.{alias.name}" for alias in item.names)
+    return names
+
+
+def _package(name: str) -> str | None:
+    parts = name.split(".")
+    return parts[1] if parts[0] == "sesamehold" and len(parts) > 1 else None
+
+
+@pytest.mark.parametrize("path", _modules(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_longer_life_does_not_import_shorter_life(path: pathlib.Path) -> None:
+    relative = str(path.relative_to(ROOT))
+    if relative in COMPOSITION_ROOTS or path.parent == ROOT:
+        return
+    own = ORDER.index(path.relative_to(ROOT).parts[0])
+    for name in _imports(path):
+        package = _package(name)
+        if package in ORDER and ORDER.index(package) < own:
+            allowed = name in VOCABULARY or _is_owned_by_registry(own, package)
+            assert allowed, f"{relative} imports {name}"
+
+
+def _is_owned_by_registry(own: int, package: str) -> bool:
+    # A connection starts requests, and the process holds the version in force; both are entries
+    # of registries that the process owns and empties.
+    return (ORDER[own], package) in {("connection", "request"), ("process", "version")}
+
+
+@pytest.mark.parametrize("path", _modules(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_no_threads_subprocesses_or_dataclasses(path: pathlib.Path) -> None:
+    assert not _imports(path) & FORBIDDEN
+
+
+@pytest.mark.parametrize(
+    "module",
+    [
+        "request/execution.py",
+        "request/events.py",
+        "request/stream.py",
+        "request/deadline.py",
+        "process/dispatch.py",
+        "process/retry_budget.py",
+        "process/ledger.py",
+        "version/manifest.py",
+    ],
+)
+def test_decisions_import_no_transport(module: str) -> None:
+    roots = {name.split(".")[0] for name in _imports(ROOT / module)}
+    assert not roots & TRANSPORTS
