Dispatch by policy, with baselines by setting

Cause: the parts of the policy need one dispatcher that composes them. Change: PolicyDispatcher implements dispatch.Dispatcher; the daemon builds it by the setting `dispatcher`. Selectors live with the request and are passed in by the daemon, because process/ may not import them. Targets that are not known to be warm are asked for their load, so a host without a cold-start slot learns that they are warm. The state dump shows targets and queues.

--- a/bench/sesamehold_bench/connection/engine_http.py
+++ b/bench/sesamehold_bench/connection/engine_http.py
@@ -27,6 +27,7 @@
         application.router.add_post("/v1/completions", self.complete)
         application.router.add_delete("/v1/attempts/{attempt:.+}", self.cancel)
         application.router.add_get("/v1/counters", self.counters)
+        application.router.add_get("/v1/load", self.load)
         return application
 
     async def counters(self, request: web.Request) -> web.Response:
@@ -40,6 +41,11 @@
             }
         )
 
+    async def load(self, request: web.Request) -> web.Response:
+        """Answers the load report without any work."""
+        del request
+        return web.json_response(self._load())
+
     async def cancel(self, request: web.Request) -> web.Response:
         """Stops an attempt and answers the work done for it."""
         attempt = request.match_info["attempt"]
--- a/bench/sesamehold_bench/connection/service_http.py
+++ b/bench/sesamehold_bench/connection/service_http.py
@@ -44,6 +44,7 @@
         application.router.add_post("/v1/run", self.run)
         application.router.add_delete("/v1/attempts/{attempt:.+}", self.cancel)
         application.router.add_get("/v1/counters", self.counters)
+        application.router.add_get("/v1/load", self.load)
         application.router.add_get("/v1/outcomes/{key:.+}", self.outcome)
         return application
 
@@ -71,6 +72,11 @@
         }
         return web.json_response(document, headers=headers)
 
+    async def load(self, request: web.Request) -> web.Response:
+        """Answers the load report without any work."""
+        del request
+        return web.json_response(self._load())
+
     async def cancel(self, request: web.Request) -> web.Response:
         """Answers the work done for an attempt; a call is one unit from its start on."""
         del request
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -101,6 +101,17 @@
         except (ValueError, KeyError, TypeError):
             return Error(calls.CallFault(events.AttemptFault.BAD_ANSWER, written.ran()))
 
+    async def load(self, target: manifest.Target) -> dispatch.LoadReport | None:
+        """Reads the target's load report, which is no work for it; None if it gives none."""
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f"http://{target.address}/v1/load", timeout=timeout
+            ) as response:
+                return _load_of(await response.text()) if response.status == 200 else None
+        except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError):
+            return None
+
     async def cancel(self, target: manifest.Target, attempt: ids.AttemptId) -> events.Usage | None:
         """Cancels an attempt and returns the work done for it."""
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -28,8 +28,10 @@
 from sesamehold.process import local_claims
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
+from sesamehold.process import policy_dispatcher
 from sesamehold.process import settings
 from sesamehold.request import driver
+from sesamehold.request import policies
 from sesamehold.version import manifest
 
 EXIT_BAD_SETTINGS = 2
@@ -39,6 +41,7 @@
 SLOT_TICK_S = 0.05
 METRICS_TICK_S = 1.0
 DRAIN_POLL_S = 0.05
+LOAD_POLL_S = 0.1
 
 _LOG = logbook.Logger("daemon")
 
@@ -48,6 +51,7 @@
     """Runs the services of one host until it has drained."""
 
     node: nodes.Node
+    _dispatcher: policy_dispatcher.PolicyDispatcher
     _targets: target_http.HttpTargetConnector
     _platform_session: aiohttp.ClientSession
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -57,8 +61,12 @@
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
         """Returns a daemon; must be called with a running event loop."""
+        clock = clocks.SystemClock()
+        seed = clock.wall_ms() if config.random_seed is None else config.random_seed
+        dispatcher = policies.build(config, f"{config.host_id}:{seed}:dispatch")
         return cls(
-            node=nodes.Node.from_config(config, clocks.SystemClock()),
+            node=nodes.Node.from_config(config, clock, dispatcher),
+            dispatcher=dispatcher,
             targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
             platform_session=aiohttp.ClientSession(),
         )
@@ -81,6 +89,7 @@
         self._tasks = [
             asyncio.create_task(self._watch_configuration()),
             asyncio.create_task(self._tick()),
+            asyncio.create_task(self._read_loads()),
         ]
         _LOG.info("started", extra={"host_id": config.host_id})
         await self._stopped.wait()
@@ -152,6 +161,19 @@
                 last_flush_ms = now_ms
                 self.node.metrics.flush()
 
+    async def _read_loads(self) -> None:
+        """Reads the load of targets that are not known to be warm."""
+        while True:
+            targets = self._dispatcher.targets.to_probe(self.node.clock.now_ms())
+            await asyncio.gather(*(self._read_load(target) for target in targets))
+            await asyncio.sleep(LOAD_POLL_S)
+
+    async def _read_load(self, target: manifest.Target) -> None:
+        asked_ms = self.node.clock.now_ms()
+        load = await self._targets.load(target)
+        if load is not None:
+            self.node.slots.note_report(target.id, load, asked_ms)
+
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/src/sesamehold/process/dispatch.py
+++ b/src/sesamehold/process/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import Protocol
 from typing import TypeAlias
 
@@ -137,6 +138,14 @@
     def tick(self, now_ms: int) -> list[SlotDecision]:
         """Grants or denies waiting attempts because time has passed."""
 
+    def note_report(
+        self, target_id: str, load: LoadReport, asked_ms: int, now_ms: int
+    ) -> list[SlotDecision]:
+        """Takes over a load report that was asked for at `asked_ms` without sending work."""
+
+    def state(self, now_ms: int) -> dict[str, Any]:
+        """Returns the bounded state for dumps."""
+
 
 @attrs.define
 class _TargetLoad:
@@ -211,6 +220,16 @@
                 decisions.append(decision)
         return decisions
 
+    def note_report(
+        self, target_id: str, load: LoadReport, asked_ms: int, now_ms: int
+    ) -> list[SlotDecision]:
+        """Ignores load reports."""
+        return []
+
+    def state(self, now_ms: int) -> dict[str, Any]:
+        """Returns the number of waiting and granted attempts."""
+        return {"waiting": len(self._waiting), "granted": len(self._granted)}
+
     def _choose(self, request: SlotRequest) -> _TargetLoad | None:
         pool = self._pools.get(request.stage.pool)
         if pool is None:
--- a/src/sesamehold/process/dump.py
+++ b/src/sesamehold/process/dump.py
@@ -49,5 +49,6 @@
         "status": status(node),
         "counters": dict(sorted(node.metrics.counters.items())[:MAX_ROWS]),
         "costs": cost_rows(node)[:MAX_ROWS],
+        "dispatch": node.slots.dispatcher.state(node.clock.now_ms()),
         "explanations": {"held": len(node.explanations), "limit": node.explanations.limit},
     }
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -63,8 +63,19 @@
     version: manifest.Manifest | None = None
 
     @classmethod
-    def from_config(cls, config: settings.Settings, clock: clocks.Clock) -> Node:
-        """Returns a node that knows no configuration version yet."""
+    def from_config(
+        cls,
+        config: settings.Settings,
+        clock: clocks.Clock,
+        dispatcher: dispatch.Dispatcher | None = None,
+    ) -> Node:
+        """Returns a node that knows no configuration version yet.
+
+        Args:
+            config: Settings of the host.
+            clock: Source of time.
+            dispatcher: Assigns targets; the simplest baseline if absent.
+        """
         seed = clock.wall_ms() if config.random_seed is None else config.random_seed
         rng = random.Random(f"{config.host_id}:{seed}")
         return cls(
@@ -72,7 +83,7 @@
             clock=clock,
             rng=rng,
             metrics=metrics.Metrics.from_config(config),
-            slots=slots.SlotRegistry(dispatch.LeastOutstandingDispatcher(), clock),
+            slots=slots.SlotRegistry(dispatcher or dispatch.LeastOutstandingDispatcher(), clock),
             requests=requests.RequestRegistry(clock, rng),
         )
 
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 
 import attrs
@@ -61,6 +62,17 @@
     authority_path: str | None = None
 
 
+class DispatcherKind(enum.Enum):
+    """Which dispatcher assigns targets; all but `policy` are baselines for experiments."""
+
+    POLICY = "policy"
+    ROUND_ROBIN = "round-robin"
+    RANDOM = "random"
+    LEAST_OUTSTANDING = "least-outstanding"
+    FIXED_LIMITS = "fixed-limits"
+    NO_EARLY_REFUSAL = "no-early-refusal"
+
+
 @attrs.frozen
 class Settings:
     """Settings of one daemon.
@@ -81,6 +93,7 @@
         limits: Limits on what callers may send.
         drain_ms: Longest time that a graceful shutdown waits for running requests.
         random_seed: Seed of all random decisions; the wall clock if absent.
+        dispatcher: Dispatch policy, or a baseline to compare it with.
     """
 
     host_id: str
@@ -98,6 +111,7 @@
     limits: CallerLimits = CallerLimits()
     drain_ms: int = 60_000
     random_seed: int | None = None
+    dispatcher: DispatcherKind = DispatcherKind.POLICY
 
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
--- a/src/sesamehold/process/slots.py
+++ b/src/sesamehold/process/slots.py
@@ -54,6 +54,11 @@
         """Returns a pool of the version in force."""
         return self._pools.get(name)
 
+    def note_report(self, target_id: str, load: dispatch.LoadReport, asked_ms: int) -> None:
+        """Passes a load report that was read without sending work to the dispatcher."""
+        now_ms = self.clock.now_ms()
+        self._resolve(self.dispatcher.note_report(target_id, load, asked_ms, now_ms))
+
     def tick(self) -> None:
         """Lets the dispatcher act on the passing of time."""
         self._resolve(self.dispatcher.tick(self.clock.now_ms()))
--- a/src/sesamehold/request/driver.py
+++ b/src/sesamehold/request/driver.py
@@ -20,6 +20,8 @@
 from sesamehold.request import events
 from sesamehold.request import execution
 from sesamehold.request import ids
+from sesamehold.request import prompt
+from sesamehold.version import manifest
 
 _MS_PER_S = 1_000
 
@@ -256,6 +258,7 @@
             priority=request.priority,
             excluded_targets=action.excluded_targets,
             fingerprint=request.fingerprint,
+            prefix_hashes=_prefix_hashes(action),
         )
 
     def _target_call(
@@ -292,6 +295,13 @@
         self.trace.records.append(explanations.TraceRecord(at_ms, kind, rule, figures))
 
 
+def _prefix_hashes(action: events.StartAttempt) -> tuple[int, ...]:
+    stage = action.stage
+    if stage.kind is not manifest.StageKind.GENERATE:
+        return ()
+    return prompt.prefix_hashes(f"{stage.model}/{stage.adapter}", prompt.build(action.body))
+
+
 @attrs.define
 class _Progress:
     written: bool = False
--- /dev/null
+++ b/src/sesamehold/request/policies.py
@@ -0,0 +1,62 @@
+"""Dispatch policies by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sesamehold.process import policy_dispatcher
+from sesamehold.process import settings
+from sesamehold.process import target_selector
+from sesamehold.request import selection
+from sesamehold.version import shares
+
+_Parts = tuple[target_selector.TargetSelector, policy_dispatcher.PolicyOptions]
+
+_PARTS: dict[settings.DispatcherKind, Callable[[selection.RandomSource], _Parts]] = {
+    settings.DispatcherKind.POLICY: lambda rng: (
+        selection.LoadAwareSelector(rng),
+        policy_dispatcher.PolicyOptions(),
+    ),
+    settings.DispatcherKind.FIXED_LIMITS: lambda rng: (
+        selection.LoadAwareSelector(rng),
+        policy_dispatcher.PolicyOptions(adaptive_limits=False),
+    ),
+    settings.DispatcherKind.NO_EARLY_REFUSAL: lambda rng: (
+        selection.LoadAwareSelector(rng),
+        policy_dispatcher.PolicyOptions(early_refusal=False),
+    ),
+    settings.DispatcherKind.ROUND_ROBIN: lambda _: (
+        selection.RoundRobinSelector(),
+        policy_dispatcher.PLAIN,
+    ),
+    settings.DispatcherKind.RANDOM: lambda rng: (
+        selection.RandomSelector(rng),
+        policy_dispatcher.PLAIN,
+    ),
+    settings.DispatcherKind.LEAST_OUTSTANDING: lambda _: (
+        selection.FewestOutstandingSelector(),
+        policy_dispatcher.PLAIN,
+    ),
+}
+
+
+def build(
+    config: settings.Settings,
+    random_seed: str,
+    *,
+    quorum: shares.Quorum = shares.SINGLE_HOST_FLEET,
+    pauses: shares.PauseWatch = shares.SINGLE_HOST_FLEET,
+) -> policy_dispatcher.PolicyDispatcher:
+    """Returns the dispatcher that the settings name.
+
+    Args:
+        config: Settings of the host.
+        random_seed: Seed of the random choices among targets.
+        quorum: Quorum check of the host, for cold-start slots.
+        pauses: Pause detection of the host, for cold-start slots.
+    """
+    rng = selection.random_source(random_seed)
+    selector, options = _PARTS[config.dispatcher](rng)
+    return policy_dispatcher.PolicyDispatcher.from_config(
+        config.host_id, config.zone, selector, options, quorum=quorum, pauses=pauses
+    )
--- a/src/sesamehold/request/prompt.py
+++ b/src/sesamehold/request/prompt.py
@@ -4,6 +4,11 @@
 
 from typing import Any
 
+import xxhash
+
+PREFIX_STEP_CHARACTERS = 256
+MAX_PREFIXES = 16
+
 
 def build(body: dict[str, Any]) -> str:
     r"""Returns the prompt from the request input and the texts of earlier stages.
@@ -22,3 +27,24 @@
         if isinstance(output, dict) and isinstance(output.get("text"), str)
     ]
     return "\n".join([str(prompt), *texts])
+
+
+def prefix_hashes(scope: str, text: str) -> tuple[int, ...]:
+    """Returns the hashes of growing prefixes of a prompt, shortest first.
+
+    Args:
+        scope: Model and adapter; prefixes of different scopes never match.
+        text: The prompt; only its first 4,096 characters count.
+
+    >>> one, two = prefix_hashes("m", "a" * 600)
+    >>> prefix_hashes("m", "a" * 512 + "b") == (one, two)
+    True
+    """
+    digest = xxhash.xxh3_64(scope.encode())
+    hashes: list[int] = []
+    whole = min(len(text) // PREFIX_STEP_CHARACTERS, MAX_PREFIXES)
+    for index in range(whole):
+        start = index * PREFIX_STEP_CHARACTERS
+        digest.update(text[start : start + PREFIX_STEP_CHARACTERS].encode(errors="replace"))
+        hashes.append(digest.intdigest())
+    return tuple(hashes)
