Bound the targets that each host uses

Cause: every host used all targets of a pool, which is 12,000 at the design size. Change: SubsetIndex ranks the hosts of each zone by target and keeps the first ones; a host adds its own first targets of a pool that it would see too few of.

--- a/src/sesamehold/process/target_table.py
+++ b/src/sesamehold/process/target_table.py
@@ -9,6 +9,7 @@
 from sesamehold.process import target_state
 from sesamehold.version import manifest
 from sesamehold.version import shares
+from sesamehold.version import subset
 
 # Ejecting most of a pool would only move its load to the rest.
 MAX_EJECTED_FRACTION = 0.5
@@ -31,6 +32,7 @@
     adaptive_limits: bool = True
     cold_slots: bool = True
     ejection: bool = True
+    _subset: subset.SubsetIndex = attrs.field(factory=subset.SubsetIndex)
     _states: dict[str, target_state.TargetState] = attrs.field(factory=dict)
     _by_pool: dict[str, list[target_state.TargetState]] = attrs.field(factory=dict)
     _probed_ms: dict[str, int] = attrs.field(factory=dict)
@@ -38,6 +40,8 @@
     def configure(self, version: manifest.Manifest, now_ms: int) -> None:
         """Takes over targets and zones; targets with open attempts keep their state."""
         self.cold_shares.configure(version, now_ms)
+        self._subset.configure(version)
+        used = self._subset.targets_of(self.cold_shares.host_id)
         zones_out = {zone.name for zone in version.zones if not zone.in_service}
         previous = self._states
         self._states = {key: state for key, state in previous.items() if state.outstanding}
@@ -45,6 +49,9 @@
         for pool in version.pools:
             states = self._by_pool.setdefault(pool.name, [])
             for target in pool.targets:
+                # A host that is not in the roster yet uses all targets.
+                if used and target.id not in used:
+                    continue
                 in_service = target.zone not in zones_out
                 state = previous.get(target.id)
                 if state is None:
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -93,6 +93,7 @@
         "request/selection.py",
         "version/manifest.py",
         "version/shares.py",
+        "version/subset.py",
     ],
 )
 def test_decisions_import_no_transport(module: str) -> None:
