Claim execution keys at a majority of witnesses

Cause: claims lived in the memory of one host, so a repeat through another host or after a restart could run a non-repeatable stage again.

Change: adds rosters with zone-balanced witness sets, the claim memory of a witness, the tally of a claim round, the store of answers, the calls between hosts, readback from targets and handover at a planned stop. A claim now belongs to one request, because a release by key alone could remove the claim of another request with the same key on the same host. The daemon listens on its peer address. Finished records are kept for the retention period plus twice the clock skew, because a key's time may be ahead by the skew.

Conclusion: quorum is assumed until membership is merged.

--- a/src/sesamehold/connection/peer_server.py
+++ b/src/sesamehold/connection/peer_server.py
@@ -9,6 +9,8 @@
 
 import attrs
 from grpclib import server as grpc_server
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from sesamehold.connection import peer_codec
 from sesamehold.connection import seal
@@ -61,6 +63,18 @@
         """Returns the trace of a request."""
 
 
+class UnavailableHandler:
+    """Refuses calls whose handler this host does not run."""
+
+    async def fetch(self, request: Any) -> Any:
+        """Refuses the call."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+    async def push(self, request: Any) -> None:
+        """Refuses the call."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+
 @attrs.define(eq=False)
 class PeerService(peer_grpc.PeerBase):
     """Passes each call to the handler that is responsible for it."""
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -9,12 +9,14 @@
 import json
 import types
 from typing import Any
+import urllib.parse
 
 import aiohttp
 import attrs
 from expression import Error
 from expression import Ok
 from expression import Result
+import yarl
 
 from sesamehold.connection import sse
 from sesamehold.process import dispatch
@@ -33,6 +35,7 @@
 KEY_HEADER = "Idempotency-Key"
 
 CANCEL_TIMEOUT_S = 2.0
+READBACK_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 # Time that a target gets beyond the deadline to answer that it stopped.
 DEADLINE_GRACE_S = 0.25
@@ -114,6 +117,23 @@
         except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError, TypeError):
             return None
 
+    async def read_outcome(
+        self, target: manifest.Target, key: ids.ExecutionKey
+    ) -> calls.TargetOutcome | None:
+        """Reads what a target knows about a key."""
+        timeout = aiohttp.ClientTimeout(total=READBACK_TIMEOUT_S)
+        name = urllib.parse.quote(_key_text(key), safe="")
+        try:
+            async with self._session.get(
+                yarl.URL(f"http://{target.address}/v1/outcomes/{name}", encoded=True),
+                timeout=timeout,
+            ) as response:
+                if response.status != 200:
+                    return None
+                return _outcome_of(await response.json())
+        except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError, TypeError):
+            return None
+
 
 @attrs.define
 class _WriteMark:
@@ -146,10 +166,14 @@
         PRIORITY_HEADER: str(call.priority),
     }
     if call.key is not None:
-        headers[KEY_HEADER] = f"{call.key.account}:{call.key.text}"
+        headers[KEY_HEADER] = _key_text(call.key)
     return headers
 
 
+def _key_text(key: ids.ExecutionKey) -> str:
+    return f"{key.account}:{key.text}"
+
+
 def _body_of(call: calls.TargetCall) -> dict[str, Any]:
     if call.stage.kind is not manifest.StageKind.GENERATE:
         return call.body
@@ -271,6 +295,17 @@
     return calls.CallFault(events.AttemptFault.ERROR_ANSWER, ran, load=load)
 
 
+def _outcome_of(document: Any) -> calls.TargetOutcome | None:
+    if not isinstance(document, dict):
+        return None
+    output = document.get("output")
+    return calls.TargetOutcome(
+        executions=int(document.get("executions", 0)),
+        output=output if isinstance(output, dict) else None,
+        usage=_usage_of(document.get("usage")),
+    )
+
+
 def _usage_of(document: Any) -> events.Usage:
     if not isinstance(document, dict):
         return events.Usage()
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -21,14 +21,20 @@
 import uvloop
 
 from sesamehold.connection import caller_http
+from sesamehold.connection import claim_client
+from sesamehold.connection import claim_handler
 from sesamehold.connection import operator_http
+from sesamehold.connection import peer_client
+from sesamehold.connection import peer_server
 from sesamehold.connection import platform_http
+from sesamehold.connection import seal
 from sesamehold.connection import target_http
 from sesamehold.process import clock as clocks
-from sesamehold.process import local_claims
+from sesamehold.process import key_waiters
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
 from sesamehold.process import settings
+from sesamehold.request import claiming
 from sesamehold.request import driver
 from sesamehold.version import manifest
 
@@ -49,6 +55,8 @@
 
     node: nodes.Node
     _targets: target_http.HttpTargetConnector
+    _peers: peer_client.PeerClient
+    _sealer: seal.Sealer
     _platform_session: aiohttp.ClientSession
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
@@ -57,7 +65,10 @@
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
         """Returns a daemon; must be called with a running event loop."""
+        sealer = seal.Sealer.from_keys(config.peer_keys)
         return cls(
+            peers=peer_client.PeerClient(sealer),
+            sealer=sealer,
             node=nodes.Node.from_config(config, clocks.SystemClock()),
             targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
             platform_session=aiohttp.ClientSession(),
@@ -65,15 +76,17 @@
 
     async def run(self) -> None:
         """Serves until the host has drained."""
+        claims = self._compose_claims()
         services = driver.Services(
             clock=self.node.clock,
             slots=self.node.slots,
             targets=self._targets,
-            claims=local_claims.LocalClaims(),
+            claims=claims,
             ledger=self.node.ledger,
             metrics=self.node.metrics,
         )
         config = self.node.config
+        peer_server_running = await self._listen_for_peers(claims)
         callers = caller_http.CallerApi(self.node, services).application()
         operators = operator_http.OperatorApi(self.node, self.start_drain).application()
         await self._listen(callers, config.caller_address)
@@ -84,6 +97,8 @@
         ]
         _LOG.info("started", extra={"host_id": config.host_id})
         await self._stopped.wait()
+        await self._hand_over(claims)
+        await peer_server_running.close()
         await self._close()
 
     def start_drain(self) -> None:
@@ -100,6 +115,34 @@
             await asyncio.sleep(DRAIN_POLL_S)
         self._stopped.set()
 
+    def _compose_claims(self) -> claiming.FleetClaims:
+        node = self.node
+        waiters = key_waiters.KeyWaiters()
+        handler = claim_handler.HostClaimHandler(node.claims, waiters, node.clock)
+        return claiming.FleetClaims(
+            client=claim_client.ClaimClient(node.claims, handler, self._peers, node.clock),
+            waiters=waiters,
+            reader=self._targets,
+            slots=node.slots,
+            clock=node.clock,
+            rng=node.rng,
+        )
+
+    async def _listen_for_peers(self, claims: claiming.FleetClaims) -> peer_server.PeerServer:
+        unavailable = peer_server.UnavailableHandler()
+        service = peer_server.PeerService(
+            claims.client.handler, unavailable, unavailable, unavailable
+        )
+        server = peer_server.PeerServer.from_service(service, self._sealer)
+        address = settings.Address.parse(self.node.config.peer_address)
+        await server.start(address.ip, address.port, None)
+        return server
+
+    async def _hand_over(self, claims: claiming.FleetClaims) -> None:
+        await claims.client.close()
+        accepted = await claims.client.hand_over()
+        _LOG.info("handed over", extra={"accepted_records": accepted})
+
     async def _listen(self, application: web.Application, address_text: str) -> None:
         address = settings.Address.parse(address_text)
         limits = self.node.config.limits
@@ -146,6 +189,7 @@
         last_flush_ms = self.node.clock.now_ms()
         while True:
             await asyncio.sleep(SLOT_TICK_S)
+            self.node.pauses.tick()
             self.node.slots.tick()
             now_ms = self.node.clock.now_ms()
             if now_ms - last_flush_ms >= METRICS_TICK_S * 1_000:
@@ -158,6 +202,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        self._peers.close()
         await self._targets.close()
         await self._platform_session.close()
         self.node.metrics.flush()
--- /dev/null
+++ b/src/sesamehold/process/execution_claims.py
@@ -0,0 +1,235 @@
+"""What one host knows and decides about execution claims, without input or output."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from sesamehold.process import outcomes
+from sesamehold.process import quorum
+from sesamehold.process import witness
+from sesamehold.request import ids
+from sesamehold.version import manifest
+from sesamehold.version import roster
+
+
+class KeyState(enum.Enum):
+    """What a host can say about a key."""
+
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FINISHED_WITHOUT_ANSWER = "finished-without-answer"
+
+
+@attrs.frozen
+class KeyReport:
+    """State of a key at one host.
+
+    Attributes:
+        state: What the host knows.
+        answer: The stored answer, if the state is FINISHED.
+        fingerprint: Hash of the body; empty if unknown.
+    """
+
+    state: KeyState
+    answer: outcomes.StoredAnswer | None = None
+    fingerprint: bytes = b""
+
+
+@attrs.define
+class OpenClaim:
+    """A claim of this host from its first vote until it is released or finished.
+
+    Attributes:
+        claim: The claim.
+        opened_ms: When the first vote was asked for.
+        deadline_ms: Deadline of the request.
+        witnesses: Witnesses that were asked, in order of the newest set first.
+        granted: Whether a majority of every witness set granted it.
+    """
+
+    claim: witness.Claim
+    opened_ms: int
+    deadline_ms: int
+    witnesses: tuple[manifest.Host, ...]
+    granted: bool = False
+
+
+@attrs.define
+class HostClaims:
+    """Claims, votes and stored answers of one host."""
+
+    host_id: str
+    incarnation: int
+    quorum_check: quorum.Quorum
+    pauses: quorum.PauseDetector
+    memory: witness.ClaimMemory
+    answers: outcomes.OutcomeStore = attrs.field(factory=outcomes.OutcomeStore)
+    policy: manifest.Policy = manifest.Policy()
+    window: roster.RosterWindow = roster.RosterWindow(0)
+    _open: dict[str, OpenClaim] = attrs.field(factory=dict)
+    _claim_count: int = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        host_id: str,
+        quorum_check: quorum.Quorum,
+        pauses: quorum.PauseDetector,
+        now_ms: int,
+        wall_ms: int,
+    ) -> HostClaims:
+        """Returns the state of a host that has just started."""
+        memory = witness.ClaimMemory(started_ms=now_ms, started_wall_ms=wall_ms)
+        return cls(host_id, wall_ms, quorum_check, pauses, memory)
+
+    def configure(self, version: manifest.Manifest, now_ms: int, wall_ms: int) -> None:
+        """Takes over the roster and the policy of a newly accepted version."""
+        newest = roster.Roster.from_manifest(version)
+        previous = self.window.current
+        if previous is None or previous.host(self.host_id) is None:
+            # Claims may have been granted by this host's future peers before it joined them.
+            self.memory.restart(now_ms, wall_ms)
+        self.policy = version.policy
+        self.window = self.window.accept(newest, version.policy.key_retention_ms, now_ms)
+        self.memory.retention_ms = version.policy.key_retention_ms
+        self.memory.clock_skew_ms = version.policy.clock_skew_ms
+        self.answers.retention_ms = version.policy.key_retention_ms
+
+    # ---- as claimant ----
+
+    def open_claim(
+        self, key: ids.ExecutionKey, fingerprint: bytes, now_ms: int, wait_ms: int
+    ) -> OpenClaim:
+        """Starts a claim at the witnesses of the present overlap window."""
+        # Unique over all hosts and restarts, also when hosts share a random seed.
+        self._claim_count += 1
+        claim_id = f"{self.host_id}/{self.incarnation}/{self._claim_count}"
+        claimant = witness.Claimant(self.host_id, self.incarnation, claim_id)
+        asked = {
+            host.id: host
+            for hosts in self.window.witness_sets(key.scoped, now_ms)
+            for host in hosts
+        }
+        opened = OpenClaim(
+            claim=witness.Claim(key, claimant, fingerprint),
+            opened_ms=now_ms,
+            deadline_ms=now_ms + wait_ms,
+            witnesses=tuple(asked.values()),
+        )
+        self._open[claim_id] = opened
+        return opened
+
+    def may_dispatch(self, claim_id: str, now_ms: int) -> bool:
+        """Returns whether a claim may be used now; asked right before dispatch.
+
+        A pause since the first vote ends the claim, because rosters may have left the overlap
+        window of other hosts meanwhile.
+        """
+        opened = self._open.get(claim_id)
+        return (
+            opened is not None
+            and opened.granted
+            and now_ms < opened.deadline_ms
+            and self.quorum_check.has_quorum(now_ms)
+            and not self.pauses.paused_since(opened.opened_ms)
+        )
+
+    def withdraw(self, claim_id: str) -> OpenClaim | None:
+        """Ends a claim without a dispatch; it can never be used afterwards."""
+        return self._open.pop(claim_id, None)
+
+    def complete(
+        self, claim_id: str, answer: outcomes.StoredAnswer, now_ms: int
+    ) -> OpenClaim | None:
+        """Ends a claim with an answer and stores it."""
+        opened = self._open.pop(claim_id, None)
+        if opened is not None:
+            claim = opened.claim
+            self.answers.put_owned(claim.key, claim.fingerprint, answer, now_ms)
+        return opened
+
+    def is_open(self, key: ids.ExecutionKey) -> bool:
+        """Returns whether a granted claim of this host holds the key."""
+        return any(
+            opened.granted and opened.claim.key.scoped == key.scoped
+            for opened in self._open.values()
+        )
+
+    # ---- as witness and as holder of answers ----
+
+    def vote(
+        self, claim: witness.Claim, roster_hash: bytes, now_ms: int, wall_ms: int
+    ) -> witness.Vote:
+        """Votes on a claim of any host, this one included."""
+        conditions = witness.Conditions(
+            has_quorum=self.quorum_check.has_quorum(now_ms),
+            knows_roster=self.window.knows(roster_hash, now_ms),
+        )
+        return self.memory.vote(claim, conditions, now_ms, wall_ms)
+
+    def note_finished(
+        self, claim: witness.Claim, answer: outcomes.StoredAnswer | None, now_ms: int
+    ) -> None:
+        """Takes the news that a claim is finished, with a copy of the answer if there is one."""
+        self.memory.finish(claim, now_ms)
+        if answer is not None:
+            self.answers.put_copy(claim.key, claim.fingerprint, answer, now_ms)
+
+    def report(self, key: ids.ExecutionKey, now_ms: int) -> KeyReport:
+        """Returns what this host can say about a key."""
+        outcome = self.answers.find(key, now_ms)
+        if outcome is not None and outcome.answer is not None:
+            return KeyReport(KeyState.FINISHED, outcome.answer, outcome.fingerprint)
+        if self.is_open(key):
+            return KeyReport(KeyState.RUNNING)
+        record = self.memory.find(key, now_ms)
+        if outcome is not None or (record is not None and record.finished_ms is not None):
+            known = outcome.fingerprint if outcome is not None else b""
+            return KeyReport(KeyState.FINISHED_WITHOUT_ANSWER, None, known)
+        return KeyReport(KeyState.UNKNOWN)
+
+    # ---- planned stop ----
+
+    def successor(self, key: ids.ExecutionKey) -> manifest.Host | None:
+        """Returns the host that takes over the record of a key when this host leaves."""
+        if self.window.current is None:
+            return None
+        before = {host.id for host in self.window.current.witnesses(key.scoped)}
+        rest = self.window.current.without(self.host_id)
+        after = rest.witnesses(key.scoped)
+        joined = (host for host in after if host.id not in before)
+        return next(joined, after[0] if after else None)
+
+    def handover(self, now_ms: int) -> dict[str, list[HandedOver]]:
+        """Returns records and answers to hand over, by the peer address of the receiver."""
+        batches: dict[str, list[HandedOver]] = {}
+        for record in self.memory.records():
+            receiver = self.successor(record.key)
+            if receiver is None:
+                continue
+            outcome = self.answers.find(record.key, now_ms)
+            answer = outcome.answer if outcome is not None else None
+            if answer is not None and len(answer.body) > outcomes.MAX_COPY_BYTES:
+                answer = None
+            batches.setdefault(receiver.peer_address, []).append(HandedOver(record, answer))
+        return batches
+
+    def take_over(self, items: list[HandedOver], now_ms: int) -> int:
+        """Imports what a leaving host held; returns the number of new records."""
+        accepted = 0
+        for item in items:
+            accepted += self.memory.import_record(item.record, now_ms)
+            if item.answer is not None:
+                self.answers.put_copy(item.record.key, item.record.fingerprint, item.answer, now_ms)
+        return accepted
+
+
+@attrs.frozen
+class HandedOver:
+    """A witness record and the answer that belongs to it, if the leaving host holds it."""
+
+    record: witness.Record
+    answer: outcomes.StoredAnswer | None
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -15,9 +15,11 @@
 from sesamehold.process import clock as clocks
 from sesamehold.process import credentials
 from sesamehold.process import dispatch
+from sesamehold.process import execution_claims
 from sesamehold.process import explanations
 from sesamehold.process import ledger
 from sesamehold.process import metrics
+from sesamehold.process import quorum
 from sesamehold.process import requests
 from sesamehold.process import retry_budget
 from sesamehold.process import settings
@@ -54,6 +56,8 @@
     metrics: metrics.Metrics
     slots: slots.SlotRegistry
     requests: requests.RequestRegistry
+    pauses: quorum.TickPauseDetector
+    claims: execution_claims.HostClaims
     credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
     ledger: ledger.Ledger = attrs.field(factory=ledger.Ledger)
     explanations: explanations.Explanations = attrs.field(factory=explanations.Explanations)
@@ -67,6 +71,7 @@
         """Returns a node that knows no configuration version yet."""
         seed = clock.wall_ms() if config.random_seed is None else config.random_seed
         rng = random.Random(f"{config.host_id}:{seed}")
+        pauses = quorum.TickPauseDetector(clock)
         return cls(
             config=config,
             clock=clock,
@@ -74,6 +79,10 @@
             metrics=metrics.Metrics.from_config(config),
             slots=slots.SlotRegistry(dispatch.LeastOutstandingDispatcher(), clock),
             requests=requests.RequestRegistry(clock, rng),
+            pauses=pauses,
+            claims=execution_claims.HostClaims.from_config(
+                config.host_id, quorum.SoleHostQuorum(), pauses, clock.now_ms(), clock.wall_ms()
+            ),
         )
 
     def configure(self, version: manifest.Manifest) -> None:
@@ -82,6 +91,7 @@
         self.credentials.configure(version)
         self.retry_budget.fraction = version.policy.retry_fraction
         self.slots.configure(version)
+        self.claims.configure(version, self.clock.now_ms(), self.clock.wall_ms())
 
     def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
         """Admits a submission or refuses it."""
--- a/src/sesamehold/request/calls.py
+++ b/src/sesamehold/request/calls.py
@@ -81,7 +81,31 @@
 """Takes new pieces of a stream; returns False if the stream has a gap and must be ended."""
 
 
-class TargetConnector(Protocol):
+@attrs.frozen
+class TargetOutcome:
+    """What a target knows about a key.
+
+    Attributes:
+        executions: How often it executed the key.
+        output: Output of the execution, None if the target does not keep it.
+        usage: Work of the execution.
+    """
+
+    executions: int
+    output: dict[str, Any] | None = None
+    usage: events.Usage = events.Usage()
+
+
+class OutcomeReader(Protocol):
+    """Reads the outcome of a non-repeatable call from a target that offers it."""
+
+    async def read_outcome(
+        self, target: manifest.Target, key: ids.ExecutionKey
+    ) -> TargetOutcome | None:
+        """Returns what a target knows about a key, None if it did not answer."""
+
+
+class TargetConnector(OutcomeReader, Protocol):
     """Sends calls to targets."""
 
     async def call(
@@ -110,7 +134,7 @@
 
 
 class ExecutionClaims(Protocol):
-    """Claims of execution keys at their witnesses."""
+    """The claim of one request's execution key at its witnesses."""
 
     async def claim(
         self,
@@ -131,3 +155,10 @@
         self, key: ids.ExecutionKey, fingerprint: bytes, answer: dict[str, Any] | None
     ) -> None:
         """Records that the key is finished and stores its answer."""
+
+
+class ClaimRegistry(Protocol):
+    """Opens claims; two requests with the same key have different claims."""
+
+    def open(self, pipeline: manifest.Pipeline) -> ExecutionClaims:
+        """Returns the claim of one request, not claimed yet."""
--- a/src/sesamehold/request/driver.py
+++ b/src/sesamehold/request/driver.py
@@ -17,6 +17,7 @@
 from sesamehold.process import metrics
 from sesamehold.process import slots
 from sesamehold.request import calls
+from sesamehold.request import errors
 from sesamehold.request import events
 from sesamehold.request import execution
 from sesamehold.request import ids
@@ -33,7 +34,7 @@
     clock: clocks.Clock
     slots: slots.SlotRegistry
     targets: calls.TargetConnector
-    claims: calls.ExecutionClaims
+    claims: calls.ClaimRegistry
     ledger: ledger.Ledger
     metrics: metrics.Metrics
 
@@ -48,6 +49,7 @@
     trace: explanations.Trace
     _started_ms: int = 0
     _final: asyncio.Future[_Final] = attrs.field(init=False)
+    _claims: calls.ExecutionClaims = attrs.field(init=False)
     _attempts: dict[ids.AttemptId, asyncio.Task[None]] = attrs.field(factory=dict)
     _background: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -55,6 +57,7 @@
         """Runs the request; returns after the final answer was written and all work has ended."""
         loop = asyncio.get_running_loop()
         self._final = loop.create_future()
+        self._claims = self.services.claims.open(self.execution.request.pipeline)
         self._started_ms = self.services.clock.now_ms()
         remaining_ms = self.execution.request.deadline.remaining_ms(self._started_ms)
         timer = loop.call_later(remaining_ms / _MS_PER_S, self._on_deadline)
@@ -96,10 +99,10 @@
             case events.ClaimKey():
                 self._spawn(self._claim(action))
             case events.ReleaseClaim():
-                self.services.claims.release(action.key)
+                self._claims.release(action.key)
             case events.FinishClaim():
                 fingerprint = self.execution.request.fingerprint
-                self.services.claims.finish(action.key, fingerprint, action.answer)
+                self._claims.finish(action.key, fingerprint, action.answer)
             case events.BookCost():
                 self._book(action)
             case events.DeliverPiece():
@@ -142,7 +145,7 @@
     async def _claim(self, action: events.ClaimKey) -> None:
         request = self.execution.request
         wait_ms = request.deadline.remaining_ms(self.services.clock.now_ms())
-        event = await self.services.claims.claim(
+        event = await self._claims.claim(
             action.key, request.fingerprint, request.first_submission, wait_ms
         )
         self._trace("claim", type(event).__name__)
@@ -218,12 +221,26 @@
             case Result(tag="ok", ok=success):
                 return events.AttemptSucceeded(action.attempt, success.output, success.usage)
             case Result(error=fault):
+                outcome = await self._read_back(call, slot, fault)
+                if outcome is not None and outcome.output is not None:
+                    return events.AttemptSucceeded(action.attempt, outcome.output, outcome.usage)
                 self._trace("attempt-failed", fault.fault.value, ran=fault.ran.value)
                 self.services.metrics.count(f"attempts.failed.{fault.fault.value}")
                 return events.AttemptFailed(
                     action.attempt, fault.fault, fault.ran, fault.usage, slot.target.id
                 )
 
+    async def _read_back(
+        self, call: calls.TargetCall, slot: dispatch.SlotGranted, fault: calls.CallFault
+    ) -> calls.TargetOutcome | None:
+        """Reads the outcome of a non-repeatable call that may have run."""
+        if call.key is None or fault.ran is errors.Ran.NO or not slot.pool.readback:
+            return None
+        outcome = await self.services.targets.read_outcome(slot.target, call.key)
+        executions = -1 if outcome is None else outcome.executions
+        self._trace("read-back", executions=executions)
+        return outcome
+
     async def _on_pieces(self, attempt: ids.AttemptId, pieces: Sequence[calls.Piece]) -> bool:
         accept = self.execution.accept_piece
         fresh: list[calls.Piece] = []
@@ -267,7 +284,7 @@
         def before_write() -> bool:
             if not self.execution.may_dispatch(action.attempt, self.services.clock.now_ms()):
                 return False
-            if key is not None and not self.services.claims.may_dispatch(key):
+            if key is not None and not self._claims.may_dispatch(key):
                 return False
             progress.written = True
             self.execution.note_dispatched(action.attempt)
--- a/src/sesamehold/request/ids.py
+++ b/src/sesamehold/request/ids.py
@@ -73,6 +73,11 @@
     created_wall_ms: int | None
     host_made: bool
 
+    @property
+    def scoped(self) -> str:
+        """Returns account and text as one string; neither contains the separator NUL."""
+        return f"{self.account}\0{self.text}"
+
     @classmethod
     def from_caller(cls, account: str, text: str) -> ExecutionKey:
         """Returns the key for a caller's `Idempotency-Key` header.
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -79,6 +79,12 @@
         "process/dispatch.py",
         "process/retry_budget.py",
         "process/ledger.py",
+        "process/execution_claims.py",
+        "process/outcomes.py",
+        "process/quorum.py",
+        "process/witness.py",
+        "request/claim_round.py",
+        "version/roster.py",
         "version/manifest.py",
     ],
 )
