--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -15,7 +15,9 @@
 from sesamehold.process import clock as clocks
 from sesamehold.process import credentials
 from sesamehold.process import dispatch
+from sesamehold.process import execution_claims
 from sesamehold.process import explanations
+from sesamehold.process import fleet_health
 from sesamehold.process import ledger
 from sesamehold.process import metrics
 from sesamehold.process import requests
@@ -54,6 +56,8 @@
     metrics: metrics.Metrics
     slots: slots.SlotRegistry
     requests: requests.RequestRegistry
+    pauses: fleet_health.TickPauseDetector
+    claims: execution_claims.HostClaims
     credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
     ledger: ledger.Ledger = attrs.field(factory=ledger.Ledger)
     explanations: explanations.Explanations = attrs.field(factory=explanations.Explanations)
@@ -78,6 +82,7 @@
         """
         seed = clock.wall_ms() if config.random_seed is None else config.random_seed
         rng = random.Random(f"{config.host_id}:{seed}")
+        pauses = fleet_health.TickPauseDetector(clock)
         return cls(
             config=config,
             clock=clock,
@@ -85,6 +90,14 @@
             metrics=metrics.Metrics.from_config(config),
             slots=slots.SlotRegistry(dispatcher or dispatch.LeastOutstandingDispatcher(), clock),
             requests=requests.RequestRegistry(clock, rng),
+            pauses=pauses,
+            claims=execution_claims.HostClaims.from_config(
+                config.host_id,
+                fleet_health.SoleHostQuorum(),
+                pauses,
+                clock.now_ms(),
+                clock.wall_ms(),
+            ),
         )
 
     def configure(self, version: manifest.Manifest) -> None:
@@ -93,6 +106,7 @@
         self.credentials.configure(version)
         self.retry_budget.fraction = version.policy.retry_fraction
         self.slots.configure(version)
+        self.claims.configure(version, self.clock.now_ms(), self.clock.wall_ms())
 
     def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
         """Admits a submission or refuses it."""
