Check manifests and settings as a whole

Cause: the type check converted values (the text "false" became a true boolean), reported one style of fault for manifests and another for settings, and no rule across fields was checked.

The converter takes only values of the exact type.

--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -31,6 +31,7 @@
 from sesamehold.process import settings
 from sesamehold.request import driver
 from sesamehold.version import manifest
+from sesamehold.version import validation
 
 EXIT_BAD_SETTINGS = 2
 CONNECTIONS_PER_TARGET = 256
@@ -132,15 +133,18 @@
     def _offer(self, document: object) -> None:
         match manifest.from_json(document):
             case Result(tag="ok", ok=version):
-                if self.node.version is None or version.version > self.node.version.version:
+                faults = validation.validate(version)
+                if faults:
+                    self._refuse(faults)
+                elif self.node.version is None or version.version > self.node.version.version:
                     self.node.configure(version)
                     _LOG.info("configuration in force", extra={"version": version.version})
             case Result(error=faults):
-                self.node.metrics.count("configuration.refused")
-                _LOG.warning(
-                    "configuration refused",
-                    extra={"faults": [f"{fault.path}: {fault.reason}" for fault in faults[:5]]},
-                )
+                self._refuse(faults)
+
+    def _refuse(self, faults: tuple[manifest.ManifestFault, ...]) -> None:
+        self.node.metrics.count("configuration.refused")
+        _LOG.warning("configuration refused", extra={"faults": [str(item) for item in faults[:5]]})
 
     async def _tick(self) -> None:
         last_flush_ms = self.node.clock.now_ms()
@@ -210,7 +214,7 @@
             return 0
         case Result(error=faults):
             for fault in faults:
-                print(f"{fault.path}: {fault.reason}", file=sys.stderr)
+                print(fault, file=sys.stderr)
             return EXIT_BAD_SETTINGS
 
 
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -2,16 +2,32 @@
 
 from __future__ import annotations
 
+import functools
+import importlib.resources
+import json
 import pathlib
+import re
+from typing import Any
+from typing import TypeAlias
 
 import attrs
-import cattrs
 from expression import Error
 from expression import Ok
 from expression import Result
 import json5
 
+from sesamehold.version import constraints
 from sesamehold.version import manifest
+from sesamehold.version import model_schema
+from sesamehold.version import schema_faults
+
+FILE_NAME = "settings.schema.json"
+TITLE = "Settings of sesameholdd"
+# The credential and the keys are the only protection of the interfaces that use them.
+MIN_SECRET_LENGTH = 16
+MAX_SECRET_LENGTH = 1_000
+
+_PLACE_PATTERN = re.compile(r"^<string>:(\d+)")
 
 
 @attrs.frozen
@@ -29,10 +45,10 @@
     def parse(cls, text: str) -> Address:
         """Parses `ip:port`; raises ValueError for any other text."""
         ip, _, port = text.rpartition(":")
-        return cls(ip, int(port))
+        return cls(ip.removeprefix("[").removesuffix("]"), int(port))
 
     def __str__(self) -> str:
-        return f"{self.ip}:{self.port}"
+        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
 
 @attrs.frozen
@@ -42,19 +58,29 @@
     Attributes:
         body_size_bytes: Largest request body.
         header_size_bytes: Largest single header line.
+        header_count: Most header lines of one request.
         open_requests: Requests that are open at once.
+        open_streams: Streamed answers that are open at once.
         idle_ms: Time without progress after which a caller's connection is cut.
     """
 
     body_size_bytes: int = 1_048_576
     header_size_bytes: int = 8_190
+    header_count: int = 64
     open_requests: int = 2_000
+    open_streams: int = 1_000
     idle_ms: int = 30_000
 
 
 @attrs.frozen
 class Tls:
-    """Certificate files in PEM format; reloaded when they change."""
+    """Certificate files in PEM format; reloaded when they change.
+
+    Attributes:
+        certificate_path: Certificate chain of this host.
+        key_path: Private key of the certificate.
+        authority_path: Certificates of the authority that the other side is checked against.
+    """
 
     certificate_path: str
     key_path: str
@@ -100,30 +126,92 @@
     random_seed: int | None = None
 
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
-
-
-def from_text(text: str) -> Result[Settings, tuple[manifest.ManifestFault, ...]]:
+CONSTRAINTS: model_schema.ConstraintTable = {
+    CallerLimits: {
+        "body_size_bytes": constraints.Constraint(minimum=1_024, maximum=1_073_741_824),
+        "header_size_bytes": constraints.Constraint(minimum=1_024, maximum=1_048_576),
+        "header_count": constraints.Constraint(minimum=16, maximum=1_024),
+        "open_requests": constraints.COUNT,
+        "open_streams": constraints.COUNT,
+        "idle_ms": constraints.Constraint(minimum=100, maximum=86_400_000),
+    },
+    Settings: {
+        "host_id": constraints.NAME,
+        "zone": constraints.NAME,
+        "caller_address": constraints.ADDRESS,
+        "operator_address": constraints.ADDRESS,
+        "peer_address": constraints.ADDRESS,
+        "platform_address": constraints.ADDRESS,
+        "operator_credential": constraints.Constraint(
+            min_length=MIN_SECRET_LENGTH, max_length=MAX_SECRET_LENGTH
+        ),
+        "peer_keys": constraints.Constraint(
+            min_items=1,
+            max_items=2,
+            items=constraints.Constraint(
+                min_length=MIN_SECRET_LENGTH, max_length=MAX_SECRET_LENGTH
+            ),
+        ),
+        "seeds": constraints.Constraint(items=constraints.ADDRESS),
+        "statsd_address": constraints.ADDRESS,
+        "drain_ms": constraints.Constraint(minimum=0, maximum=86_400_000),
+    },
+}
+
+Faults: TypeAlias = tuple[manifest.ManifestFault, ...]
+
+_CONVERTER = manifest.strict_converter()
+
+
+def generate_schema() -> dict[str, Any]:
+    """Returns the schema as generated from the model."""
+    return model_schema.generate(Settings, TITLE, CONSTRAINTS)
+
+
+@functools.cache
+def published_schema() -> dict[str, Any]:
+    """Returns the committed schema."""
+    text = importlib.resources.files(__package__).joinpath(FILE_NAME).read_text("utf-8")
+    document: dict[str, Any] = json.loads(text)
+    return document
+
+
+def from_text(text: str) -> Result[Settings, Faults]:
     """Parses settings; returns all faults at once if there are any."""
     try:
-        data = json5.loads(text)
-    except ValueError as error:
-        return Error((manifest.ManifestFault("$", f"not JSON with comments: {error}"),))
-    try:
-        return Ok(_CONVERTER.structure(data, Settings))
-    except cattrs.BaseValidationError as error:
-        return Error(
-            tuple(
-                manifest.ManifestFault(text.rpartition(" @ ")[2], text.rpartition(" @ ")[0])
-                for text in cattrs.transform_error(error)
-            )
-        )
-
-
-def from_file(path: pathlib.Path) -> Result[Settings, tuple[manifest.ManifestFault, ...]]:
+        data = json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        # The parser's message repeats a part of the text, which may be a secret.
+        place = _PLACE_PATTERN.match(str(error))
+        where = f" at line and column {place[1]}" if place else ""
+        return Error((manifest.ManifestFault("$", f"not JSON with comments{where}"),))
+    faults = schema_faults.SchemaChecker(published_schema()).faults(data)
+    faults += _shared_addresses(data) if isinstance(data, dict) else ()
+    if faults:
+        return Error(faults)
+    return Ok(_CONVERTER.structure(data, Settings))
+
+
+def from_file(path: pathlib.Path) -> Result[Settings, Faults]:
     """Reads and parses a settings file."""
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         return Error((manifest.ManifestFault(str(path), f"cannot be read: {error.strerror}"),))
+    except UnicodeDecodeError:
+        return Error((manifest.ManifestFault(str(path), "is not UTF-8 text"),))
     return from_text(text)
+
+
+def _shared_addresses(data: dict[str, Any]) -> Faults:
+    seen: dict[str, str] = {}
+    faults = []
+    for name in ("caller_address", "operator_address", "peer_address"):
+        address = data.get(name)
+        if not isinstance(address, str):
+            continue
+        if address in seen:
+            reason = f"is the same as {seen[address]}; each interface needs its own address"
+            faults.append(manifest.ManifestFault(name, reason))
+        seen.setdefault(address, name)
+    return tuple(faults)
--- a/src/sesamehold/version/manifest.py
+++ b/src/sesamehold/version/manifest.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import enum
+import typing
 from typing import Any
 
 import attrs
 import cattrs
+import cattrs.cols
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -34,7 +37,13 @@
 
 @attrs.frozen
 class Zone:
-    """An availability zone; `in_service` is False while operators have taken it out."""
+    """An availability zone.
+
+    Attributes:
+        name: Unique name.
+        region: Region of the zone.
+        in_service: False while operators have taken the zone out of service.
+    """
 
     name: str
     region: str
@@ -43,7 +52,14 @@
 
 @attrs.frozen
 class Host:
-    """An entry host of the roster; addresses are `ip:port`."""
+    """An entry host of the roster.
+
+    Attributes:
+        id: Unique id.
+        zone: Availability zone of the host.
+        peer_address: Listens for other hosts, TCP and UDP, `ip:port`.
+        operator_address: Listens for operators, `ip:port`.
+    """
 
     id: str
     zone: str
@@ -53,7 +69,12 @@
 
 @attrs.frozen
 class PartnerShare:
-    """Fraction of an account's cost that a partner of the joint venture carries."""
+    """Part of an account's cost that one partner of the joint venture carries.
+
+    Attributes:
+        partner: Name of the partner.
+        fraction: Fraction of the cost, from 0 to 1.
+    """
 
     partner: str
     fraction: float
@@ -84,7 +105,14 @@
 
 @attrs.frozen
 class Model:
-    """A model with its versions and adapters; sizes drive the weight store's queue."""
+    """A model; its size drives the weight store's queue.
+
+    Attributes:
+        name: Unique name.
+        versions: Versions that targets may load.
+        adapters: Adapters that targets may load.
+        weights_size_bytes: Size of the weights of one version.
+    """
 
     name: str
     versions: tuple[str, ...]
@@ -94,7 +122,14 @@
 
 @attrs.frozen
 class Target:
-    """One target; `leaving` targets get no new work."""
+    """One target.
+
+    Attributes:
+        id: Unique id over all pools.
+        address: Listens for entry hosts, `ip:port`.
+        zone: Availability zone of the target.
+        leaving: True if the target gets no new work.
+    """
 
     id: str
     address: str
@@ -205,7 +240,18 @@
 
 @attrs.frozen
 class Manifest:
-    """One published configuration version."""
+    """One published configuration version.
+
+    Attributes:
+        version: Version number, which only grows.
+        zones: Availability zones.
+        hosts: Roster of entry hosts.
+        accounts: Client accounts.
+        models: Models that targets may load.
+        pools: Pools of targets.
+        pipelines: Pipelines that callers use.
+        policy: Settings that hold for the whole fleet.
+    """
 
     version: int
     zones: tuple[Zone, ...]
@@ -243,8 +289,54 @@
     reason: str
     nearest: str | None = None
 
+    def __str__(self) -> str:
+        hint = f" (did you mean {self.nearest!r}?)" if self.nearest else ""
+        return f"{self.path}: {self.reason}{hint}"
+
+
+def strict_converter() -> cattrs.Converter:
+    """Returns a converter that refuses values of another type instead of converting them.
+
+    The default hooks take the text "false" for a true boolean.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (int, bool, str):
+        converter.register_structure_hook(kind, _exactly)
+    converter.register_structure_hook(float, _number)
+    converter.register_structure_hook_factory(_is_tuple, _tuple_hook)
+    return converter
+
+
+def _is_tuple(hint: Any) -> bool:
+    return typing.get_origin(hint) is tuple
+
+
+def _tuple_hook(hint: Any, converter: cattrs.Converter) -> Callable[[Any, Any], Any]:
+    structure = cattrs.cols.homogenous_tuple_structure_factory(hint, converter)
+
+    def structure_array(value: Any, kind: Any) -> Any:
+        # Without this check the keys of an object would be taken for entries.
+        if not isinstance(value, list | tuple):
+            raise TypeError("expected array")
+        return structure(value, kind)
+
+    return structure_array
+
+
+def _exactly(value: Any, kind: type) -> Any:
+    if type(value) is not kind:
+        raise TypeError(f"expected {kind.__name__}")
+    return value
+
+
+def _number(value: Any, kind: type) -> Any:
+    del kind
+    if type(value) not in (int, float):
+        raise TypeError("expected number")
+    return value
+
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+_CONVERTER = strict_converter()
 
 
 def to_json(manifest: Manifest) -> dict[str, Any]:
@@ -262,7 +354,7 @@
     """
     try:
         return Ok(_CONVERTER.structure(data, Manifest))
-    except (cattrs.BaseValidationError, cattrs.errors.StructureHandlerNotFoundError) as error:
+    except cattrs.BaseValidationError as error:
         faults = tuple(_fault_from_text(text) for text in cattrs.transform_error(error))
         return Error(faults)
 
--- a/testing/factories.py
+++ b/testing/factories.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+import copy
+from typing import Any
+
 from sesamehold.process import retry_budget
 from sesamehold.request import deadline
 from sesamehold.request import execution
@@ -44,3 +48,105 @@
 def budget(burst: float = 10.0) -> retry_budget.FractionRetryBudget:
     """Returns a retry budget."""
     return retry_budget.FractionRetryBudget(fraction=0.1, burst=burst)
+
+
+def manifest_document() -> dict[str, Any]:
+    """Returns a small sound manifest as parsed JSON."""
+    hosts = [
+        {
+            "id": f"host-{index}",
+            "zone": "zone-a" if index % 2 == 0 else "zone-b",
+            "peer_address": f"10.0.0.{index + 1}:7003",
+            "operator_address": f"10.0.0.{index + 1}:7002",
+        }
+        for index in range(3)
+    ]
+    partners = [{"partner": "bars", "fraction": 0.5}, {"partner": "tolls", "fraction": 0.5}]
+    account = {"partners": partners, "credential_salt": "5e5a", "credential_hash": "ab" * 32}
+    pools = [
+        _pool_document(index, name)
+        for index, name in enumerate(("language-model", "encode", "retrieve"))
+    ]
+    stages = [
+        {"name": "encode", "kind": "encode", "pool": "encode"},
+        {"name": "retrieve", "kind": "retrieve", "pool": "retrieve"},
+        {
+            "name": "generate",
+            "kind": "generate",
+            "pool": "language-model",
+            "path": "/v1/completions",
+            "model": "chat",
+            "adapter": "form",
+        },
+    ]
+    return {
+        "version": 7,
+        "zones": [
+            {"name": "zone-a", "region": "region-1", "in_service": True},
+            {"name": "zone-b", "region": "region-1"},
+        ],
+        "hosts": hosts,
+        "accounts": [
+            {"name": "owner", **copy.deepcopy(account)},
+            {"name": "guest", **copy.deepcopy(account)},
+        ],
+        "models": [{"name": "chat", "versions": ["1"], "adapters": ["form"]}],
+        "pools": pools,
+        "pipelines": [
+            {
+                "name": "summary",
+                "owner": "owner",
+                "stages": stages,
+                "default_deadline_ms": 3_000,
+                "callers": [],
+            }
+        ],
+    }
+
+
+def _pool_document(index: int, name: str) -> dict[str, Any]:
+    targets = [
+        {
+            "id": f"{name}-{number}",
+            "address": f"10.0.{index + 1}.{number + 1}:80",
+            "zone": "zone-a" if number % 2 == 0 else "zone-b",
+        }
+        for number in range(2)
+    ]
+    return {
+        "name": name,
+        "kind": "engine" if name == "language-model" else "service",
+        "owner": "owner",
+        "targets": targets,
+        "capacity_warm": 16,
+        "capacity_cold": 2,
+        "max_service_ms": 30_000,
+    }
+
+
+def put(document: Any, path: str, value: Any) -> None:
+    """Sets the value at a dotted path, such as `pools.0.capacity_cold`."""
+    *parents, last = [int(part) if part.isdigit() else part for part in path.split(".")]
+    for part in parents:
+        document = document[part]
+    document[last] = value
+
+
+def leaf_paths(document: Any, prefix: str = "") -> list[str]:
+    """Returns the dotted paths of all values of a document."""
+    if not isinstance(document, dict | list):
+        return []
+    items = document.items() if isinstance(document, dict) else enumerate(document)
+    paths: list[str] = []
+    for key, value in items:
+        paths += [f"{prefix}{key}", *leaf_paths(value, f"{prefix}{key}.")]
+    return paths
+
+
+def assert_fault(faults: Sequence[manifest.ManifestFault], wanted: str) -> None:
+    """Asserts that a fault `path: words` or `path: words; nearest name` is among the faults."""
+    path, _, rest = wanted.partition(": ")
+    words, _, nearest = rest.partition("; ")
+    found = [fault for fault in faults if fault.path == path and words in fault.reason]
+    assert found, (wanted, faults)
+    assert not nearest or found[0].nearest == nearest
--- /dev/null
+++ b/testing/process/test_settings.py
@@ -0,0 +1,103 @@
+"""Guards the check of settings: every fault is reported at once, without secrets."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import factories
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sesamehold.process import settings
+
+
+def document() -> dict[str, Any]:
+    return {
+        "host_id": "host-0",
+        "zone": "zone-a",
+        "caller_address": "10.0.0.1:7001",
+        "operator_address": "10.0.0.1:7002",
+        "peer_address": "10.0.0.1:7003",
+        "platform_address": "10.0.9.1:80",
+        "operator_credential": "operator-credential-0",
+        "peer_keys": ["peer-key-number-one"],
+        "seeds": ["10.0.0.2:7003"],
+        "limits": {"idle_ms": 5_000},
+        "caller_tls": {"certificate_path": "c.pem", "key_path": "k.pem"},
+        "random_seed": None,
+    }
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault"),
+    [
+        pytest.param("drain_s", 5, "drain_s: unknown field; drain_ms", id="wrong-unit-name"),
+        pytest.param("drain_ms", "5s", "drain_ms: integer in milliseconds", id="wrong-type"),
+        pytest.param("peer_keys", ["a" * 16] * 3, "peer_keys: 1 to 2 entries", id="three-keys"),
+        pytest.param("peer_keys", [], "peer_keys: 1 to 2 entries", id="no-key"),
+        pytest.param("peer_keys", ["short"], "peer_keys[0]: 16 to", id="short-key"),
+        pytest.param(
+            "operator_credential", "short", "operator_credential: 16 to", id="short-credential"
+        ),
+        pytest.param("seeds", ["seed:1"], "seeds[0]: IP number", id="seed-name"),
+        pytest.param("statsd_address", "10.0.0.1", "statsd_address: a port", id="no-port"),
+        pytest.param(
+            "peer_address",
+            "10.0.0.1:7001",
+            "peer_address: same as caller_address",
+            id="shared-address",
+        ),
+        pytest.param("limits.idle", 1, "limits.idle: unknown field; idle_ms", id="nested-unknown"),
+        pytest.param(
+            "limits.body_size_bytes",
+            1,
+            "limits.body_size_bytes: bytes from 1024",
+            id="out-of-range",
+        ),
+        pytest.param("caller_tls.key_path", 1, "caller_tls.key_path: string", id="optional-object"),
+        pytest.param("caller_tls", [], "caller_tls: object or null", id="not-an-object"),
+        pytest.param("host_id", "host 0\n", "host_id: letters", id="host-id"),
+    ],
+)
+def test_fault_is_named(path: str, value: Any, fault: str) -> None:
+    """Guards against a daemon that starts with settings other than the operator meant."""
+    data = document()
+    factories.put(data, path, value)
+    faults = settings.from_text(json.dumps(data)).error
+    factories.assert_fault(faults, fault)
+
+
+def test_all_faults_are_reported_at_once() -> None:
+    faults = settings.from_text('{drain_ms: -1, peer_keys: ["x"], unknwn: 1}').error
+    paths = {fault.path for fault in faults}
+    assert {"drain_ms", "peer_keys[0]", "unknwn", "host_id", "zone", "caller_address"} <= paths
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[" * 5_000, '{"a": 1, "a": 2}', "nul", '{"operator_credential": "planted-secret'],
+    ids=["empty", "open", "deep", "duplicate", "word", "secret"],
+)
+def test_text_that_is_not_json_is_a_fault(text: str) -> None:
+    """Guards against tracebacks and against parser messages that repeat secrets."""
+    (fault,) = settings.from_text(text).error
+    assert "not JSON" in fault.reason
+    assert "planted" not in fault.reason
+
+
+@hypothesis.settings(max_examples=1_000, derandomize=True, deadline=None)
+@hypothesis.given(
+    path=strategies.sampled_from(sorted(factories.leaf_paths(document()))),
+    value=strategies.recursive(
+        strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(),
+        lambda inner: strategies.lists(inner) | strategies.dictionaries(strategies.text(), inner),
+        max_leaves=6,
+    ),
+)
+def test_malformed_settings_give_typed_faults(path: str, value: Any) -> None:
+    data = document()
+    factories.put(data, path, value)
+    result = settings.from_text(json.dumps(data))
+    assert result.is_ok() or all(fault.path and fault.reason for fault in result.error)
