--- /dev/null
+++ b/src/sesamehold/process/cli_check.py
@@ -0,0 +1,124 @@
+"""`check`, `diff` and `schema`: commands on files."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import json
+import pathlib
+from typing import Any
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+import json5
+
+from sesamehold.process import cli_output
+from sesamehold.process import settings
+from sesamehold.version import difference
+from sesamehold.version import manifest
+from sesamehold.version import schema
+from sesamehold.version import validation
+
+# A settings file has none of these fields, and a manifest has all of them.
+_MANIFEST_FIELDS = {"zones", "hosts", "accounts", "pools", "pipelines"}
+
+
+@attrs.frozen
+class UnreadableFile:
+    """A file that cannot be read or is no JSON."""
+
+    text: str
+
+
+def check(path: pathlib.Path) -> cli_output.Report:
+    """Checks a manifest or a settings file, told apart by its fields."""
+    match _read(path):
+        case Result(tag="ok", ok=text):
+            pass
+        case Result(error=unreadable):
+            return cli_output.usage_fault(unreadable.text)
+    document = _parse(text)
+    if isinstance(document, dict) and _MANIFEST_FIELDS & document.keys():
+        kind, faults = "manifest", manifest_faults(document)
+    else:
+        kind, faults = "settings", settings.from_text(text).swap().default_value(())
+    return _check_report(path, kind, faults)
+
+
+def diff(old: pathlib.Path, new: pathlib.Path) -> cli_output.Report:
+    """Compares two manifests; a difference is not a fault."""
+    versions = []
+    for path in (old, new):
+        match load_manifest(path):
+            case Result(tag="ok", ok=version):
+                versions.append(version)
+            case Result(error=report):
+                return report
+    effects = difference.effects(*versions)
+    lines = tuple(str(effect) for effect in effects) or ("Nothing changes.",)
+    document = {"effects": [attrs.asdict(effect) for effect in effects]}
+    return cli_output.Report(cli_output.ExitCode.OK, lines, document)
+
+
+def schemas(*, of_settings: bool) -> cli_output.Report:
+    """Returns a published schema."""
+    document = settings.published_schema() if of_settings else schema.published()
+    lines = tuple(schema.to_text(document).splitlines())
+    return cli_output.Report(cli_output.ExitCode.OK, lines, document)
+
+
+def load_manifest(path: pathlib.Path) -> Result[manifest.Manifest, cli_output.Report]:
+    """Reads a manifest that has no faults."""
+    match _read(path):
+        case Result(tag="ok", ok=text):
+            document = _parse(text)
+        case Result(error=unreadable):
+            return Error(cli_output.usage_fault(unreadable.text))
+    faults = manifest_faults(document)
+    if faults:
+        return Error(_check_report(path, "manifest", faults))
+    return Ok(manifest.from_json(document).ok)
+
+
+def manifest_faults(document: Any) -> tuple[manifest.ManifestFault, ...]:
+    """Returns the faults of a parsed manifest, by the schema and by the cross-field rules."""
+    match schema.parse(document):
+        case Result(tag="ok", ok=version):
+            return validation.validate(version)
+        case Result(error=faults):
+            return faults
+
+
+def _check_report(
+    path: pathlib.Path, kind: str, faults: Sequence[manifest.ManifestFault]
+) -> cli_output.Report:
+    document = {
+        "file": str(path),
+        "kind": kind,
+        "faults": [attrs.asdict(fault) for fault in faults],
+    }
+    if not faults:
+        line = f"{path}: no faults in this {kind} file"
+        return cli_output.Report(cli_output.ExitCode.OK, (line,), document)
+    lines = (f"{path}: {len(faults)} faults in this {kind} file", *(f"  {item}" for item in faults))
+    return cli_output.Report(cli_output.ExitCode.FAULT_FOUND, lines, document)
+
+
+def _read(path: pathlib.Path) -> Result[str, UnreadableFile]:
+    try:
+        return Ok(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Error(UnreadableFile(f"{path}: cannot be read: {error.strerror}"))
+    except UnicodeDecodeError:
+        return Error(UnreadableFile(f"{path}: is not UTF-8 text"))
+
+
+def _parse(text: str) -> Any:
+    # The parser for comments takes minutes for a manifest of 1 MB, so JSON is tried first.
+    for parse in (json.loads, json5.loads):
+        try:
+            return parse(text)
+        except (ValueError, RecursionError):
+            continue
+    return None
