--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -32,6 +32,7 @@
 from sesamehold.connection import target_http
 from sesamehold.connection import tls
 from sesamehold.process import clock as clocks
+from sesamehold.process import dump
 from sesamehold.process import local_claims
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
@@ -120,6 +121,10 @@
         _LOG.info("draining", extra={"open_requests": len(self.node.requests)})
         self._tasks.append(asyncio.create_task(self._drain()))
 
+    def log_state(self) -> None:
+        """Writes the decision state as one log line."""
+        _LOG.info("state", extra={"state": dump.state(self.node)})
+
     async def _drain(self) -> None:
         deadline_ms = self.node.clock.now_ms() + self.node.config.drain_ms
         while len(self.node.requests) and self.node.clock.now_ms() < deadline_ms:
@@ -217,12 +222,16 @@
     finished: asyncio.Event
 
     async def start(self) -> None:
-        """Starts the daemon; SIGTERM and SIGINT begin a graceful shutdown."""
+        """Starts the daemon.
+
+        SIGTERM and SIGINT begin a graceful shutdown; SIGUSR1 logs the decision state.
+        """
         # Certificates are loaded before anything listens.
         daemon = Daemon.from_config(self.config)
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, daemon.start_drain)
+        loop.add_signal_handler(signal.SIGUSR1, daemon.log_state)
         self.start_event.set()
         try:
             await daemon.run()
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -115,8 +115,8 @@
     operator_address: str
     peer_address: str
     platform_address: str
-    operator_credential: str
-    peer_keys: tuple[str, ...]
+    operator_credential: str = attrs.field(repr=False)
+    peer_keys: tuple[str, ...] = attrs.field(repr=False)
     seeds: tuple[str, ...] = ()
     statsd_address: str | None = None
     caller_tls: Tls | None = None
