--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import signal
+import ssl
 import sys
 from typing import Annotated
 
@@ -26,11 +28,18 @@
 from sesamehold.connection import operator_http
 from sesamehold.connection import peer_client
 from sesamehold.connection import peer_server
+from sesamehold.connection import http_listener
+from sesamehold.connection import ledger_peer
+from sesamehold.connection import operator_http
+from sesamehold.connection import peer_client
 from sesamehold.connection import platform_http
 from sesamehold.connection import seal
 from sesamehold.connection import target_http
+from sesamehold.connection import tls
 from sesamehold.process import clock as clocks
 from sesamehold.process import key_waiters
+from sesamehold.process import dump
+from sesamehold.process import local_claims
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
 from sesamehold.process import policy_dispatcher
@@ -39,6 +48,7 @@
 from sesamehold.request import driver
 from sesamehold.request import policies
 from sesamehold.version import manifest
+from sesamehold.version import validation
 
 EXIT_BAD_SETTINGS = 2
 CONNECTIONS_PER_TARGET = 256
@@ -62,9 +72,13 @@
     _peers: peer_client.PeerClient
     _sealer: seal.Sealer
     _platform_session: aiohttp.ClientSession
+    _peers: peer_client.PeerClient
+    _ledger_pusher: ledger_peer.LedgerPusher
+    _caller_tls: tls.ReloadingTls | None
+    _peer_tls: tls.ReloadingTls | None
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
-    _runners: list[web.AppRunner] = attrs.field(factory=list)
+    _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
 
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
@@ -78,6 +92,19 @@
             sealer=sealer,
             node=nodes.Node.from_config(config, clock, dispatcher),
             dispatcher=dispatcher,
+        node = nodes.Node.from_config(config, clocks.SystemClock())
+        caller_tls = _certificate(config.caller_tls, tls.ReloadingTls.for_callers)
+        peer_tls = _certificate(config.peer_tls, tls.ReloadingTls.for_peer_client)
+        peers = peer_client.PeerClient(
+            seal.Sealer.from_keys(config.peer_keys),
+            peer_tls.context if peer_tls is not None else None,
+        )
+        return cls(
+            node=node,
+            peers=peers,
+            ledger_pusher=ledger_peer.LedgerPusher.from_node(node, peers),
+            caller_tls=caller_tls,
+            peer_tls=peer_tls,
             targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
             platform_session=aiohttp.ClientSession(),
         )
@@ -103,6 +130,16 @@
             asyncio.create_task(self._watch_configuration()),
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._read_loads()),
+        peers = self._peers
+        callers = caller_http.CallerApi(self.node, services, peers).application()
+        operators = operator_http.OperatorApi(self.node, self.start_drain, peers).application()
+        caller_tls = self._caller_tls.context if self._caller_tls is not None else None
+        await self._listen(callers, config.caller_address, caller_tls)
+        await self._listen(operators, config.operator_address, None)
+        self._tasks = [
+            asyncio.create_task(self._watch_configuration()),
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._ledger_pusher.run()),
         ]
         _LOG.info("started", extra={"host_id": config.host_id})
         await self._stopped.wait()
@@ -118,10 +155,15 @@
         _LOG.info("draining", extra={"open_requests": len(self.node.requests)})
         self._tasks.append(asyncio.create_task(self._drain()))
 
+    def log_state(self) -> None:
+        """Writes the decision state as one log line."""
+        _LOG.info("state", extra={"state": dump.state(self.node)})
+
     async def _drain(self) -> None:
         deadline_ms = self.node.clock.now_ms() + self.node.config.drain_ms
         while len(self.node.requests) and self.node.clock.now_ms() < deadline_ms:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self._ledger_pusher.hand_over()
         self._stopped.set()
 
     def _compose_claims(self) -> claiming.FleetClaims:
@@ -154,17 +196,12 @@
 
     async def _listen(self, application: web.Application, address_text: str) -> None:
         address = settings.Address.parse(address_text)
+    async def _listen(
+        self, application: web.Application, address: str, tls: ssl.SSLContext | None
+    ) -> None:
         limits = self.node.config.limits
-        runner = web.AppRunner(
-            application,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.header_size_bytes,
-            max_field_size=limits.header_size_bytes,
-        )
-        await runner.setup()
-        await web.TCPSite(runner, address.ip, address.port).start()
-        self._runners.append(runner)
+        listener = await http_listener.HttpListener.start(application, address, limits, tls)
+        self._listeners.append(listener)
 
     async def _watch_configuration(self) -> None:
         platform = platform_http.PlatformClient(
@@ -184,15 +221,18 @@
     def _offer(self, document: object) -> None:
         match manifest.from_json(document):
             case Result(tag="ok", ok=version):
-                if self.node.version is None or version.version > self.node.version.version:
+                faults = validation.validate(version)
+                if faults:
+                    self._refuse(faults)
+                elif self.node.version is None or version.version > self.node.version.version:
                     self.node.configure(version)
                     _LOG.info("configuration in force", extra={"version": version.version})
             case Result(error=faults):
-                self.node.metrics.count("configuration.refused")
-                _LOG.warning(
-                    "configuration refused",
-                    extra={"faults": [f"{fault.path}: {fault.reason}" for fault in faults[:5]]},
-                )
+                self._refuse(faults)
+
+    def _refuse(self, faults: tuple[manifest.ManifestFault, ...]) -> None:
+        self.node.metrics.count("configuration.refused")
+        _LOG.warning("configuration refused", extra={"faults": [str(item) for item in faults[:5]]})
 
     async def _tick(self) -> None:
         last_flush_ms = self.node.clock.now_ms()
@@ -204,6 +244,11 @@
             if now_ms - last_flush_ms >= METRICS_TICK_S * 1_000:
                 last_flush_ms = now_ms
                 self.node.metrics.flush()
+                for certificate in self._certificates():
+                    certificate.reload_if_changed()
+
+    def _certificates(self) -> list[tls.ReloadingTls]:
+        return [item for item in (self._caller_tls, self._peer_tls) if item is not None]
 
     async def _read_loads(self) -> None:
         """Reads the load of targets that are not known to be warm."""
@@ -224,6 +269,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        for listener in self._listeners:
+            await listener.close()
         self._peers.close()
         await self._targets.close()
         await self._platform_session.close()
@@ -231,6 +278,23 @@
         _LOG.info("stopped", extra={"host_id": self.node.config.host_id})
 
 
+class CertificateError(Exception):
+    """Certificate files of the settings cannot be loaded at start."""
+
+
+def _certificate(
+    files: settings.Tls | None,
+    load: Callable[[settings.Tls], Result[tls.ReloadingTls, tls.CertificateUnusable]],
+) -> tls.ReloadingTls | None:
+    if files is None:
+        return None
+    match load(files):
+        case Result(tag="ok", ok=loaded):
+            return loaded
+        case Result(error=unusable):
+            raise CertificateError(f"{unusable.path}: {unusable.reason}")
+
+
 class DaemonService(aiomisc.Service):
     """Runs a `Daemon` as an aiomisc service."""
 
@@ -238,11 +302,16 @@
     finished: asyncio.Event
 
     async def start(self) -> None:
-        """Starts the daemon; SIGTERM and SIGINT begin a graceful shutdown."""
+        """Starts the daemon.
+
+        SIGTERM and SIGINT begin a graceful shutdown; SIGUSR1 logs the decision state.
+        """
+        # Certificates are loaded before anything listens.
         daemon = Daemon.from_config(self.config)
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, daemon.start_drain)
+        loop.add_signal_handler(signal.SIGUSR1, daemon.log_state)
         self.start_event.set()
         try:
             await daemon.run()
@@ -272,12 +341,16 @@
     """
     match settings.from_file(settings_file):
         case Result(tag="ok", ok=config):
-            with logs.handler().applicationbound():
-                uvloop.run(_run(config))
+            try:
+                with logs.handler().applicationbound():
+                    uvloop.run(_run(config))
+            except CertificateError as error:
+                print(error, file=sys.stderr)
+                return EXIT_BAD_SETTINGS
             return 0
         case Result(error=faults):
             for fault in faults:
-                print(f"{fault.path}: {fault.reason}", file=sys.stderr)
+                print(fault, file=sys.stderr)
             return EXIT_BAD_SETTINGS
 
 
--- /dev/null
+++ b/testing/connection/test_caller_limits.py
@@ -0,0 +1,208 @@
+"""The callers' interface against malformed, slow and excessive requests over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+import caller_host
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sesamehold.connection import submission
+
+# More than the buffers of both sockets hold.
+ENDLESS_PIECES = 100_000
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "kind"),
+    [
+        pytest.param(caller_host.post(b"{"), 400, "bad-request", id="bad-json"),
+        pytest.param(caller_host.post(b"[]"), 400, "bad-request", id="not-an-object"),
+        pytest.param(caller_host.post(b"\xff\xfe{}"), 400, "bad-request", id="not-utf-8"),
+        pytest.param(caller_host.post(b"[" * 2_000), 400, "bad-request", id="deep"),
+        pytest.param(
+            caller_host.post(b"{}", "Content-Type: text/xml"), 415, "unsupported-content", id="xml"
+        ),
+        pytest.param(
+            caller_host.post(b"{}", "Content-Encoding: gzip"), 415, "unsupported-content", id="gzip"
+        ),
+        pytest.param(caller_host.post(b" " * 3_000), 413, "too-large", id="large-body"),
+        pytest.param(
+            caller_host.post(b"c00\r\n" + b" " * 3_072 + b"\r\n0\r\n\r\n", CHUNKED),
+            413,
+            "too-large",
+            id="large-chunked",
+        ),
+        pytest.param(
+            caller_host.post(b"zz\r\n{}\r\n", CHUNKED), 400, "bad-request", id="malformed-chunk"
+        ),
+        pytest.param(
+            caller_host.post(b"{", "Content-Length: 9"), 408, "body-timeout", id="body-stops"
+        ),
+        pytest.param(
+            caller_host.post(b"{}", "X: " + "a" * 2_000), 400, "bad-request", id="long-header"
+        ),
+        pytest.param(
+            caller_host.post(b"{}", *[f"X-{i}: 1" for i in range(30)]),
+            400,
+            "bad-request",
+            id="many-headers",
+        ),
+        pytest.param(b"\x16\x03\x01garbage\r\n\r\n", 400, "bad-request", id="not-http"),
+        pytest.param(caller_host.post(path="/nowhere"), 404, "not-found", id="unknown-path"),
+        pytest.param(caller_host.post(path="/healthz"), 400, "bad-request", id="wrong-method"),
+        pytest.param(
+            caller_host.post(path="/v1/pipelines/x/requests"), 404, "not-found", id="pipeline"
+        ),
+        pytest.param(
+            caller_host.post(b"{}", "Sesamehold-Deadline-Ms: 1e3"),
+            400,
+            "bad-request",
+            id="deadline",
+        ),
+        pytest.param(
+            caller_host.post().replace(b"owner:secret", b"owner:\xff\xfe"),
+            401,
+            "unauthenticated",
+            id="latin",
+        ),
+        pytest.param(
+            caller_host.post()
+            .replace(b"POST", b"GET")
+            .replace(caller_host.PATH.encode(), b"/v1/requests/x/explanation"),
+            404,
+            "not-found",
+            id="no-explanation",
+        ),
+    ],
+)
+def test_refusal_is_a_problem_that_says_not_run(data: bytes, status: int, kind: str) -> None:
+    """Guards against refusals without `ran`, and against requests that slip through a limit."""
+
+    async def check(host: caller_host.Host) -> None:
+        head, _, body = (await host.exchange(data)).partition(b"\r\n\r\n")
+        # A request whose version could not be read is answered with HTTP/1.0.
+        assert head.split()[1] == str(status).encode(), head
+        assert b"application/problem+json" in head
+        problem = json.loads(body)
+        assert problem["type"].endswith(kind)
+        assert problem["status"] == status
+        assert problem["ran"] == "no"
+
+    caller_host.run(check)
+
+
+def test_connection_is_kept_for_more_requests() -> None:
+    async def check(host: caller_host.Host) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", host.port)
+        for _ in range(3):
+            writer.write(caller_host.post(b'{"prompt": "p"}'))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 ")
+            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+            assert b"outputs" in await reader.readexactly(length)
+        writer.close()
+
+    caller_host.run(check)
+
+
+def test_idle_connection_is_cut() -> None:
+    """Guards against connections that hold a file descriptor and never send a request."""
+
+    async def check(host: caller_host.Host) -> None:
+        for start in (b"", b"POST / HTTP/1.1\r\nHost"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", host.port)
+            writer.write(start)
+            async with asyncio.timeout(20 * caller_host.IDLE_MS / 1_000):
+                assert await reader.read() == b""
+            writer.close()
+
+    caller_host.run(check)
+
+
+def test_slow_reader_is_cut_and_memory_stays_bounded() -> None:
+    """Guards against a caller that does not read: its buffer must not grow, its target be freed."""
+
+    async def check(host: caller_host.Host) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", host.port, limit=1_024)
+        writer.write(
+            caller_host.post(b"{}", "Accept: text/event-stream", "Sesamehold-Deadline-Ms: 60000")
+        )
+        second = await _second_stream(host)
+        assert b"429" in second.partition(b"\r\n")[0]
+        async with asyncio.timeout(30):
+            while host.node.metrics.counters["callers.cut_slow"] == 0 or len(host.node.requests):
+                await asyncio.sleep(0.02)
+        assert host.targets.sent < ENDLESS_PIECES / 2
+        assert host.node.metrics.counters["requests.failed.cancelled"] == 1
+        assert not [name for name in host.node.metrics.counters if name.startswith("attempts.")]
+        writer.close()
+
+    caller_host.run(check, ENDLESS_PIECES)
+
+
+async def _second_stream(host: caller_host.Host) -> bytes:
+    while len(host.node.requests) == 0:
+        await asyncio.sleep(0.01)
+    return await host.exchange(caller_host.post(b"{}", "Accept: text/event-stream"))
+
+
+def _mutate(source: random.Random) -> bytes:
+    data = bytearray(
+        caller_host.post(b'{"prompt": "p"}', "Idempotency-Key: k", "Sesamehold-Priority: 1")
+    )
+    for _ in range(source.randint(1, 6)):
+        place = source.randrange(len(data))
+        match source.randrange(3):
+            case 0:
+                data[place] = source.randrange(256)
+            case 1:
+                del data[place : place + source.randint(1, 9)]
+            case _:
+                data[place:place] = source.randbytes(source.randint(1, 9))
+    return bytes(data)
+
+
+def test_malformed_requests_get_answers_without_internal_errors() -> None:
+    """Guards against a traceback for any bytes that a caller may send: 1,000 mutated requests."""
+
+    async def check(host: caller_host.Host) -> None:
+        source = random.Random(20261204)
+        for _ in range(20):
+            batch = [host.exchange(_mutate(source)) for _ in range(50)]
+            for answer in await asyncio.gather(*batch):
+                head, _, body = answer.partition(b"\r\n\r\n")
+                assert b" 500 " not in head.partition(b"\r\n")[0], answer
+                if answer and not head.startswith(b"HTTP/1.1 200"):
+                    assert json.loads(body)["ran"] in ("no", "unknown"), answer
+
+    caller_host.run(check)
+
+
+@hypothesis.settings(max_examples=1_000, derandomize=True, deadline=None)
+@hypothesis.given(
+    headers=strategies.dictionaries(
+        strategies.sampled_from(
+            [
+                submission.DEADLINE_HEADER,
+                submission.PRIORITY_HEADER,
+                submission.SUBMISSION_HEADER,
+                submission.KEY_HEADER,
+                "Authorization",
+                "Accept",
+            ]
+        ),
+        strategies.text(max_size=250),
+    ),
+    body=strategies.binary(max_size=60) | strategies.from_regex(rb'\{"[a-z]*": ?[\[{"\d].*'),
+)
+def test_any_headers_and_body_decode_to_a_typed_result(
+    headers: dict[str, str], body: bytes
+) -> None:
+    result = submission.decode("p", headers, body)
+    assert result.is_ok() or result.error.ran.value == "no"
