--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -43,7 +43,7 @@
     async def health(self, request: web.Request) -> web.Response:
         """Answers 200 while this host wants new requests from the balancer."""
         del request
-        ready = self.node.version is not None and not self.node.requests.draining
+        ready = self.node.is_ready()
         return web.json_response({"ready": ready}, status=200 if ready else 503)
 
     async def submit(self, request: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/src/sesamehold/connection/fleet_service.py
@@ -0,0 +1,174 @@
+"""Connects the fleet view of one host with its sockets and tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+import logbook
+
+from sesamehold.connection import configuration_exchange
+from sesamehold.connection import datagram
+from sesamehold.connection import peer_client
+from sesamehold.connection import peer_server
+from sesamehold.connection import platform_http
+from sesamehold.connection import seal
+from sesamehold.process import configuration_reader
+from sesamehold.process import messages
+from sesamehold.process import node as nodes
+from sesamehold.process import settings
+
+TICK_S = 0.1
+MANIFEST_VALUE = "manifest"
+
+_LOG = logbook.Logger("fleet")
+
+
+@attrs.frozen(eq=False)
+class PublishedManifest:
+    """The manifest on the configuration service; a `configuration_reader.Platform`."""
+
+    _client: platform_http.PlatformClient
+
+    async def read(self) -> Result[configuration_reader.Published | None, str]:
+        """Returns the current manifest."""
+        return _published(await self._client.read(MANIFEST_VALUE))
+
+    async def watch(
+        self, after_version: int, wait_ms: int
+    ) -> Result[configuration_reader.Published | None, str]:
+        """Returns a manifest after `after_version`, None if there is none within `wait_ms`."""
+        return _published(await self._client.watch(MANIFEST_VALUE, after_version, wait_ms))
+
+
+def _published(
+    result: Result[
+        platform_http.PublishedValue | platform_http.Unchanged, platform_http.PlatformUnavailable
+    ],
+) -> Result[configuration_reader.Published | None, str]:
+    match result:
+        case Result(tag="ok", ok=platform_http.PublishedValue() as value):
+            return Ok(configuration_reader.Published(value.version, value.document))
+        case Result(tag="ok"):
+            return Ok(None)
+        case Result(error=error):
+            return Error(error.reason)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    # These tasks end with an exception only through a programming error, which must not go unseen.
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error("task failed", extra={"task": task.get_name(), "error": repr(task.exception())})
+
+
+def _ignore(*values: object) -> None:
+    del values
+
+
+class Unimplemented:
+    """Stands in for handlers that this host does not have yet."""
+
+    def __getattr__(self, name: str) -> Any:
+        async def refuse(request: Any) -> Any:
+            del request
+            raise GRPCError(Status.UNIMPLEMENTED, name)
+
+        return refuse
+
+
+@attrs.define(eq=False)
+class FleetService:
+    """Runs membership, notices and configuration of one host."""
+
+    _node: nodes.Node
+    _reader: configuration_reader.ConfigurationReader
+    _endpoint: datagram.DatagramEndpoint
+    _server: peer_server.PeerServer
+    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+
+    @classmethod
+    def from_config(cls, node: nodes.Node, session: aiohttp.ClientSession) -> FleetService:
+        """Returns a service that is not listening yet."""
+        config = node.config
+        sealer = seal.Sealer.from_keys(config.peer_keys)
+        endpoint = datagram.DatagramEndpoint(sealer, on_envelope=_ignore, count=node.metrics.count)
+        peers = configuration_exchange.ConfigurationPeers(lambda: peer_client.PeerClient(sealer))
+        absent: Any = Unimplemented()
+        handler = configuration_exchange.ConfigurationService(
+            node.fleet.configuration_state, node.clock
+        )
+        service = peer_server.PeerService(absent, handler, absent, absent)
+        client = platform_http.PlatformClient(config.platform_address, session)
+        reader = configuration_reader.ConfigurationReader(
+            view=node.fleet,
+            platform=PublishedManifest(client),
+            peers=peers,
+            seeds=tuple(seed for seed in config.seeds if seed != config.peer_address),
+            rng=node.rng,
+            send=_ignore,
+        )
+        result = cls(node, reader, endpoint, peer_server.PeerServer.from_service(service, sealer))
+        endpoint.on_envelope = result.receive
+        reader.send = result.act
+        return result
+
+    async def start(self) -> None:
+        """Listens on the peer address and starts to read the configuration."""
+        address = settings.Address.parse(self._node.config.peer_address)
+        await self._server.start(address.ip, address.port, None)
+        await self._endpoint.start(address)
+        self._tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._tick(),
+                self._reader.start(),
+                self._reader.watch(),
+                self._reader.follow(),
+            )
+        ]
+        for task in self._tasks:
+            task.add_done_callback(_report_failure)
+
+    def receive(self, envelope: messages.Envelope, source: str) -> None:
+        """Passes a datagram to the decision state."""
+        self.act(self._node.fleet.receive(envelope, source))
+
+    def act(self, outgoing: list[messages.Outgoing]) -> None:
+        """Sends datagrams, and makes the changes of the decision state known."""
+        for item in outgoing:
+            self._endpoint.send(item)
+        view = self._node.fleet
+        version = view.version()
+        if version is not None and version is not self._node.version:
+            self._node.configure(version)
+        for change in view.changes:
+            _LOG.info(change.event, extra=change.fields)
+        view.changes.clear()
+        # No module of this host acts on received notices yet.
+        view.received.clear()
+        self._reader.poke()
+
+    def leave(self) -> None:
+        """Tells the other hosts that this one begins its graceful shutdown."""
+        self.act(self._node.fleet.leave())
+
+    async def close(self) -> None:
+        """Tells the other hosts that this one ends, and closes the sockets."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.act(self._node.fleet.left())
+        self._endpoint.close()
+        await self._server.close()
+
+    async def _tick(self) -> None:
+        while True:
+            self.act(self._node.fleet.tick())
+            await asyncio.sleep(TICK_S)
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -21,8 +21,8 @@
 import uvloop
 
 from sesamehold.connection import caller_http
+from sesamehold.connection import fleet_service
 from sesamehold.connection import operator_http
-from sesamehold.connection import platform_http
 from sesamehold.connection import target_http
 from sesamehold.process import clock as clocks
 from sesamehold.process import local_claims
@@ -30,12 +30,9 @@
 from sesamehold.process import node as nodes
 from sesamehold.process import settings
 from sesamehold.request import driver
-from sesamehold.version import manifest
 
 EXIT_BAD_SETTINGS = 2
 CONNECTIONS_PER_TARGET = 256
-WATCH_MS = 10_000
-PLATFORM_RETRY_S = 1.0
 SLOT_TICK_S = 0.05
 METRICS_TICK_S = 1.0
 DRAIN_POLL_S = 0.05
@@ -50,6 +47,7 @@
     node: nodes.Node
     _targets: target_http.HttpTargetConnector
     _platform_session: aiohttp.ClientSession
+    _fleet: fleet_service.FleetService
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _runners: list[web.AppRunner] = attrs.field(factory=list)
@@ -57,10 +55,13 @@
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
         """Returns a daemon; must be called with a running event loop."""
+        node = nodes.Node.from_config(config, clocks.SystemClock())
+        platform_session = aiohttp.ClientSession()
         return cls(
-            node=nodes.Node.from_config(config, clocks.SystemClock()),
+            node=node,
             targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
-            platform_session=aiohttp.ClientSession(),
+            platform_session=platform_session,
+            fleet=fleet_service.FleetService.from_config(node, platform_session),
         )
 
     async def run(self) -> None:
@@ -78,10 +79,8 @@
         operators = operator_http.OperatorApi(self.node, self.start_drain).application()
         await self._listen(callers, config.caller_address)
         await self._listen(operators, config.operator_address)
-        self._tasks = [
-            asyncio.create_task(self._watch_configuration()),
-            asyncio.create_task(self._tick()),
-        ]
+        await self._fleet.start()
+        self._tasks = [asyncio.create_task(self._tick())]
         _LOG.info("started", extra={"host_id": config.host_id})
         await self._stopped.wait()
         await self._close()
@@ -92,6 +91,7 @@
             return
         self.node.requests.draining = True
         _LOG.info("draining", extra={"open_requests": len(self.node.requests)})
+        self._fleet.leave()
         self._tasks.append(asyncio.create_task(self._drain()))
 
     async def _drain(self) -> None:
@@ -114,34 +114,6 @@
         await web.TCPSite(runner, address.ip, address.port).start()
         self._runners.append(runner)
 
-    async def _watch_configuration(self) -> None:
-        platform = platform_http.PlatformClient(
-            self.node.config.platform_address, self._platform_session
-        )
-        while True:
-            version = self.node.version.version if self.node.version else 0
-            match await platform.watch("manifest", version, WATCH_MS):
-                case Result(tag="ok", ok=platform_http.PublishedValue(document=document)):
-                    self._offer(document)
-                case Result(tag="error"):
-                    self.node.metrics.count("configuration.platform_errors")
-                    await asyncio.sleep(PLATFORM_RETRY_S)
-                case _:
-                    pass
-
-    def _offer(self, document: object) -> None:
-        match manifest.from_json(document):
-            case Result(tag="ok", ok=version):
-                if self.node.version is None or version.version > self.node.version.version:
-                    self.node.configure(version)
-                    _LOG.info("configuration in force", extra={"version": version.version})
-            case Result(error=faults):
-                self.node.metrics.count("configuration.refused")
-                _LOG.warning(
-                    "configuration refused",
-                    extra={"faults": [f"{fault.path}: {fault.reason}" for fault in faults[:5]]},
-                )
-
     async def _tick(self) -> None:
         last_flush_ms = self.node.clock.now_ms()
         while True:
@@ -158,6 +130,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        await self._fleet.close()
         await self._targets.close()
         await self._platform_session.close()
         self.node.metrics.flush()
--- a/src/sesamehold/process/dump.py
+++ b/src/sesamehold/process/dump.py
@@ -15,6 +15,7 @@
     return {
         "host_id": node.config.host_id,
         "zone": node.config.zone,
+        "ready": node.is_ready(),
         "draining": node.requests.draining,
         "configuration_version": node.version.version if node.version else None,
         "open_requests": len(node.requests),
@@ -47,6 +48,7 @@
     """Returns the whole decision state, bounded to `MAX_ROWS` rows for each table."""
     return {
         "status": status(node),
+        "fleet": node.fleet.dump(),
         "counters": dict(sorted(node.metrics.counters.items())[:MAX_ROWS]),
         "costs": cost_rows(node)[:MAX_ROWS],
         "explanations": {"held": len(node.explanations), "limit": node.explanations.limit},
--- /dev/null
+++ b/src/sesamehold/process/fleet_view.py
@@ -0,0 +1,417 @@
+"""What one host knows about the other hosts and about the configuration, as one state machine.
+
+Takes the passing of time and decoded datagrams in, and gives datagrams and changes of state out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sesamehold.process import clock as clocks
+from sesamehold.process import configuration
+from sesamehold.process import configuration_follower
+from sesamehold.process import membership
+from sesamehold.process import messages
+from sesamehold.process import notices
+from sesamehold.process import pause
+from sesamehold.process import quorum
+from sesamehold.process import reader_choice
+from sesamehold.process import startup
+from sesamehold.version import acceptance
+from sesamehold.version import manifest
+from sesamehold.version import sections
+
+READER_SILENCE_MS = 5_000
+_SLOW_TICK_MS = 1_000
+# An acknowledgement that was not confirmed within this time is forgotten.
+_CONFIRM_MS = 2_000
+_MAX_UNCONFIRMED = 4_096
+
+
+@attrs.frozen
+class StateChange:
+    """A change of state for the log."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+def _count_nothing(name: str, value: int = 1) -> None:
+    del name, value
+
+
+@attrs.define(eq=False)
+class FleetView:
+    """Membership, quorum, notices, pause detection and configuration of one host."""
+
+    host_id: str
+    clock: clocks.Clock
+    membership: membership.Membership
+    evidence: quorum.Evidence
+    notices: notices.Notices
+    pause: pause.PauseDetector
+    configuration_state: configuration.ConfigurationState
+    startup: startup.StartupCheck
+    follower: configuration_follower.ConfigurationFollower = attrs.field(
+        factory=configuration_follower.ConfigurationFollower
+    )
+    count: Callable[[str, int], None] = _count_nothing
+    changes: list[StateChange] = attrs.field(factory=list)
+    received: list[messages.NoticeBody] = attrs.field(factory=list)
+    has_quorum_now: bool = False
+    _addresses: dict[str, str] = attrs.field(factory=dict)
+    _unconfirmed: dict[tuple[str, int], int] = attrs.field(factory=dict)
+    _survey: dict[int, tuple[str, int]] = attrs.field(factory=dict)
+    _reader_heard_ms: int | None = None
+    _readers: set[str] = attrs.field(factory=set)
+    _next_slow_tick_ms: int = 0
+    _pending: list[messages.Outgoing] = attrs.field(factory=list)
+
+    @classmethod
+    def create(
+        cls,
+        host_id: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        count: Callable[[str, int], None] = _count_nothing,
+        validate: acceptance.Validator = acceptance.accept_all,
+    ) -> FleetView:
+        """Returns the view of a host that knows nothing yet."""
+        return cls(
+            host_id=host_id,
+            clock=clock,
+            membership=membership.Membership(host_id, clock.wall_ms(), rng),
+            evidence=quorum.Evidence(host_id),
+            notices=notices.Notices(host_id),
+            pause=pause.PauseDetector(clock),
+            configuration_state=configuration.ConfigurationState(validate),
+            startup=startup.StartupCheck(clock.now_ms()),
+            count=count,
+        )
+
+    # ---- events --------------------------------------------------------------------------------
+
+    def tick(self) -> list[messages.Outgoing]:
+        """Acts on the passing of time; called about every 100 ms."""
+        now_ms = self.clock.now_ms()
+        paused_ms = self.pause.tick()
+        if paused_ms:
+            self.membership.on_pause(paused_ms)
+            self._unconfirmed.clear()
+            self.count("pause.detected", 1)
+            self._note_change("process was paused", paused_ms=paused_ms)
+        sends = self.membership.tick(now_ms)
+        for host_id in self.startup.to_ask(list(self.membership.members)):
+            sequence = self.membership.next_sequence()
+            self._survey[sequence] = (host_id, now_ms)
+            sends.append(messages.Send(host_id, messages.Ping(sequence)))
+        if now_ms >= self._next_slow_tick_ms:
+            self._next_slow_tick_ms = now_ms + _SLOW_TICK_MS
+            self._slow_tick(now_ms)
+        self._collect_member_changes()
+        return self._take_pending() + self._outgoing(sends)
+
+    def receive(self, envelope: messages.Envelope, source: str) -> list[messages.Outgoing]:
+        """Acts on a datagram.
+
+        Args:
+            envelope: The decoded datagram.
+            source: Address that it came from; answers go there.
+        """
+        now_ms = self.clock.now_ms()
+        sender = envelope.sender
+        if sender == self.host_id:
+            return []
+        self.membership.on_sender(sender, envelope.sender_incarnation, now_ms)
+        for update in envelope.updates:
+            self.membership.apply(update, now_ms)
+        self._note_digest(envelope.digest, sender, source)
+        sends = self._on_body(envelope, source, now_ms)
+        self._collect_member_changes()
+        return self._take_pending() + self._outgoing(sends, sender, source)
+
+    def publish(self, body: messages.NoticeBody) -> list[messages.Outgoing]:
+        """Sends a notice to a few hosts, which forward it."""
+        notice = self.notices.publish(body)
+        return [] if notice is None else self._spread(notice)
+
+    def leave(self) -> list[messages.Outgoing]:
+        """Tells the others that this host begins its graceful shutdown."""
+        update = self.membership.leave()
+        self._note_change("leaving")
+        return self.publish(messages.LeavingNotice(update.host_id, update.incarnation))
+
+    def left(self) -> list[messages.Outgoing]:
+        """Tells a few others that this host ends; they pass it on with their probes."""
+        self.membership.left()
+        chosen = self.membership.sample(notices.FANOUT)
+        sequence = self.membership.next_sequence()
+        return self._outgoing([messages.Send(item, messages.Ping(sequence)) for item in chosen])
+
+    # ---- configuration -------------------------------------------------------------------------
+
+    def offer_document(self, document: Any) -> Result[list[messages.Outgoing], acceptance.Refusal]:
+        """Decides about a manifest that the platform published.
+
+        Returns:
+            The notices to send if the version is now in force.
+        """
+        match self.configuration_state.offer_document(document, self.clock.now_ms()):
+            case Result(tag="ok", ok=accepted):
+                return Ok(self._put_in_force(accepted))
+            case Result(error=refusal):
+                self._note_refusal(refusal)
+                return Error(refusal)
+
+    def apply_answer(
+        self, answer: configuration.SectionsAnswer
+    ) -> Result[
+        list[messages.Outgoing],
+        acceptance.Refusal | sections.Malformed | configuration.AskWithSections,
+    ]:
+        """Decides about sections that a peer sent; see `offer_document`."""
+        now_ms = self.clock.now_ms()
+        match self.configuration_state.apply(answer, now_ms):
+            case Result(tag="ok", ok=accepted):
+                return Ok(self._put_in_force(accepted))
+            case Result(error=reason):
+                if isinstance(reason, acceptance.Invalid):
+                    self.follower.on_refused()
+                if isinstance(reason, acceptance.Conflict | acceptance.Invalid):
+                    self._note_refusal(reason)
+                return Error(reason)
+
+    def fetch_source(self) -> str | None:
+        """Returns the peer address to fetch a newer version from, None if none is known."""
+        return self.follower.next_source(self.configuration_state.version, self.clock.now_ms())
+
+    def should_watch(self) -> bool:
+        """Returns whether this host watches the platform now."""
+        if self.configuration_state.in_force is None or self.host_id in self._readers:
+            return True
+        # Nobody has heard from a reader before the first probes; waits for them.
+        heard_ms = self._reader_heard_ms
+        return heard_ms is not None and self.clock.now_ms() - heard_ms > READER_SILENCE_MS
+
+    # ---- questions -----------------------------------------------------------------------------
+
+    def version(self) -> manifest.Manifest | None:
+        """Returns the manifest in force."""
+        in_force = self.configuration_state.in_force
+        return in_force.manifest if in_force else None
+
+    def has_quorum(self, now_ms: int) -> bool:
+        """Returns whether this host sees more than half of its roster alive and has a roster."""
+        if self.configuration_state.in_force is None:
+            return False
+        return self.evidence.has_quorum(now_ms)
+
+    def is_stale(self) -> bool:
+        """Returns whether a pause has made beliefs stale and no probe has been answered since."""
+        return self.pause.is_stale()
+
+    def is_ready(self) -> bool:
+        """Returns whether this host may take traffic."""
+        roster = set(self.membership.members) | {self.host_id}
+        return self.startup.is_ready(roster, self.configuration_state.version, self.clock.now_ms())
+
+    def address_of(self, host_id: str) -> str | None:
+        """Returns the peer address of a member."""
+        return self._addresses.get(host_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state for operators."""
+        now_ms = self.clock.now_ms()
+        return {
+            "membership": self.membership.dump(),
+            "quorum": {
+                "held": self.has_quorum(now_ms),
+                "alive": self.evidence.alive_count(now_ms),
+            },
+            "configuration": {
+                **self.configuration_state.dump(now_ms),
+                "newest_heard_version": self.follower.newest.version,
+                "watches_platform": self.should_watch(),
+            },
+            "notices_remembered": len(self.notices),
+            "pause": {
+                "count": self.pause.pause_count,
+                "last_ms": self.pause.last_paused_ms,
+                "stale": self.pause.is_stale(),
+            },
+        }
+
+    # ---- helpers -------------------------------------------------------------------------------
+
+    def _on_body(
+        self, envelope: messages.Envelope, source: str, now_ms: int
+    ) -> list[messages.Send]:
+        sender = envelope.sender
+        match envelope.body:
+            case messages.Ping() as ping:
+                if len(self._unconfirmed) < _MAX_UNCONFIRMED:
+                    self._unconfirmed[sender, ping.sequence] = now_ms
+                return self.membership.on_ping(sender, ping)
+            case messages.PingRequest() as request:
+                return self.membership.on_ping_request(sender, request, now_ms)
+            case messages.Ack() as ack:
+                return self._on_ack(envelope, ack, now_ms)
+            case messages.Confirm(sequence=sequence):
+                self._merge(envelope, self._unconfirmed.pop((sender, sequence), None))
+                return []
+            case messages.Notice() as notice:
+                self._on_notice(notice, envelope, source, now_ms)
+                return []
+
+    def _on_ack(
+        self, envelope: messages.Envelope, ack: messages.Ack, now_ms: int
+    ) -> list[messages.Send]:
+        target, survey_sent_ms = self._survey.pop(ack.sequence, (None, 0))
+        sent_ms = self.membership.sent_ms(ack.subject_host_id, ack.sequence)
+        if target == envelope.sender:
+            sent_ms = survey_sent_ms
+        if sent_ms is not None:
+            self.evidence.observe(ack.subject_host_id, sent_ms)
+            self._merge(envelope, sent_ms)
+            self.pause.on_probe_acknowledged(sent_ms)
+        return self.membership.on_ack(envelope.sender, ack, now_ms)
+
+    def _merge(self, envelope: messages.Envelope, sent_after_ms: int | None) -> None:
+        if sent_after_ms is None:
+            return
+        self.evidence.observe(envelope.sender, sent_after_ms)
+        self.evidence.merge(envelope.roster_key, envelope.evidence_ages, sent_after_ms)
+
+    def _on_notice(
+        self, notice: messages.Notice, envelope: messages.Envelope, source: str, now_ms: int
+    ) -> None:
+        body = notice.body
+        if isinstance(body, messages.ConfigurationNotice):
+            # Forwarded only once the version is in force here, so that it can be fetched from here.
+            self._note_digest(body.digest, envelope.sender, source)
+            return
+        forward = self.notices.receive(notice)
+        if forward is None:
+            return
+        if isinstance(body, messages.LeavingNotice):
+            update = messages.MemberUpdate(
+                body.host_id, body.incarnation, messages.MemberState.LEAVING
+            )
+            self.membership.apply(update, now_ms)
+        self.received.append(body)
+        self._pending.extend(self._spread(forward))
+
+    def _note_digest(self, digest: messages.Digest, sender: str, source: str) -> None:
+        self.startup.note(sender, digest.version)
+        if self.configuration_state.note_digest(digest):
+            self.count("configuration.conflicts", 1)
+        if not self.configuration_state.is_refused(digest):
+            self.follower.note(digest, source)
+
+    def _put_in_force(self, accepted: configuration.Accepted) -> list[messages.Outgoing]:
+        version = self.version()
+        if version is None:
+            return []
+        now_ms = self.clock.now_ms()
+        self._addresses = {host.id: host.peer_address for host in version.hosts}
+        self.membership.configure(version.hosts)
+        self.evidence.configure(host.id for host in version.hosts)
+        self._update_readers(now_ms)
+        self.count("configuration.accepted", 1)
+        self._note_change("configuration in force", version=accepted.version)
+        return self.publish(messages.ConfigurationNotice(self.configuration_state.digest()))
+
+    def _slow_tick(self, now_ms: int) -> None:
+        self._unconfirmed = {
+            key: sent_ms
+            for key, sent_ms in self._unconfirmed.items()
+            if now_ms - sent_ms < _CONFIRM_MS
+        }
+        self._survey = {
+            sequence: entry
+            for sequence, entry in self._survey.items()
+            if now_ms - entry[1] < _CONFIRM_MS
+        }
+        self._update_readers(now_ms)
+        quorum_now = self.has_quorum(now_ms)
+        if quorum_now is not self.has_quorum_now:
+            self.has_quorum_now = quorum_now
+            self.count("quorum.gained" if quorum_now else "quorum.lost", 1)
+            self._note_change("quorum gained" if quorum_now else "quorum lost")
+
+    def _update_readers(self, now_ms: int) -> None:
+        version = self.version()
+        if version is None:
+            return
+        readers = reader_choice.readers(version, self.membership.is_alive)
+        if (self.host_id in readers) is not (self.host_id in self._readers):
+            self._note_change("reader role changed", reader=self.host_id in readers)
+        self._readers = readers
+        heard_ms = max(
+            (self.evidence.seen_ms(host_id) for host_id in readers if host_id != self.host_id),
+            default=-1,
+        )
+        self._reader_heard_ms = max(heard_ms, self._reader_heard_ms or now_ms)
+
+    def _note_refusal(self, refusal: acceptance.Refusal) -> None:
+        match refusal:
+            case acceptance.Conflict():
+                self.count("configuration.conflicts", 1)
+                self._note_change("configuration conflict", version=refusal.version)
+            case acceptance.Invalid():
+                self.count("configuration.refused", 1)
+                faults = [f"{fault.path}: {fault.reason}" for fault in refusal.faults[:5]]
+                self._note_change("configuration refused", version=refusal.version, faults=faults)
+            case acceptance.Stale():
+                self.count("configuration.stale_reads", 1)
+            case acceptance.Unchanged():
+                pass
+
+    def _note_change(self, event: str, **fields: Any) -> None:
+        self.changes.append(StateChange(event, fields))
+
+    def _collect_member_changes(self) -> None:
+        for change in self.membership.changes:
+            state = change.state.name.lower()
+            self.count(f"membership.{state}", 1)
+            self._note_change("member changed", member=change.host_id, state=state)
+        self.membership.changes.clear()
+
+    def _spread(self, notice: messages.Notice) -> list[messages.Outgoing]:
+        chosen = self.membership.sample(notices.FANOUT)
+        return self._outgoing([messages.Send(host_id, notice) for host_id in chosen])
+
+    def _take_pending(self) -> list[messages.Outgoing]:
+        pending, self._pending = self._pending, []
+        return pending
+
+    def _outgoing(
+        self, sends: list[messages.Send], sender: str = "", source: str = ""
+    ) -> list[messages.Outgoing]:
+        result: list[messages.Outgoing] = []
+        for send in sends:
+            address = source if send.host_id == sender else self._addresses.get(send.host_id)
+            if address is not None:
+                result.append(messages.Outgoing(address, self._envelope(send)))
+        return result
+
+    def _envelope(self, send: messages.Send) -> messages.Envelope:
+        # Only these are sent at times that the receiver can bound; see `quorum`.
+        carries_ages = isinstance(send.body, messages.Ack | messages.Confirm)
+        ages = self.evidence.ages(self.clock.now_ms()) if carries_ages else b""
+        return messages.Envelope(
+            sender=self.host_id,
+            sender_incarnation=self.membership.incarnation,
+            digest=self.configuration_state.digest(),
+            body=send.body,
+            updates=self.membership.updates_for(send.host_id),
+            roster_key=self.evidence.roster_key if carries_ages else 0,
+            evidence_ages=ages,
+        )
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -16,6 +16,7 @@
 from sesamehold.process import credentials
 from sesamehold.process import dispatch
 from sesamehold.process import explanations
+from sesamehold.process import fleet_view
 from sesamehold.process import ledger
 from sesamehold.process import metrics
 from sesamehold.process import requests
@@ -54,6 +55,7 @@
     metrics: metrics.Metrics
     slots: slots.SlotRegistry
     requests: requests.RequestRegistry
+    fleet: fleet_view.FleetView
     credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
     ledger: ledger.Ledger = attrs.field(factory=ledger.Ledger)
     explanations: explanations.Explanations = attrs.field(factory=explanations.Explanations)
@@ -67,13 +69,17 @@
         """Returns a node that knows no configuration version yet."""
         seed = clock.wall_ms() if config.random_seed is None else config.random_seed
         rng = random.Random(f"{config.host_id}:{seed}")
+        gathered = metrics.Metrics.from_config(config)
         return cls(
             config=config,
             clock=clock,
             rng=rng,
-            metrics=metrics.Metrics.from_config(config),
+            metrics=gathered,
             slots=slots.SlotRegistry(dispatch.LeastOutstandingDispatcher(), clock),
             requests=requests.RequestRegistry(clock, rng),
+            fleet=fleet_view.FleetView.create(
+                config.host_id, clock, random.Random(rng.random()), gathered.count
+            ),
         )
 
     def configure(self, version: manifest.Manifest) -> None:
@@ -83,9 +89,13 @@
         self.retry_budget.fraction = version.policy.retry_fraction
         self.slots.configure(version)
 
+    def is_ready(self) -> bool:
+        """Returns whether this host wants new requests from the load balancer."""
+        return self.version is not None and self.fleet.is_ready() and not self.requests.draining
+
     def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
         """Admits a submission or refuses it."""
-        if self.version is None or self.requests.draining:
+        if self.version is None or not self.is_ready():
             return Error(
                 errors.Draining(
                     detail="This host is starting or stopping; send the request again.",
