--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -1,19 +1,14 @@
-"""`sesameholdd`: one entry host as a process.
-
-This module puts the parts together, so it alone imports from packages of shorter life.
-"""
+"""`sesameholdd`: one entry host as a process."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import pathlib
 import signal
 import ssl
 import sys
 from typing import Annotated
 
-import aiohttp
 from aiohttp import web
 import aiomisc
 import attrs
@@ -22,38 +17,16 @@
 import logbook
 import uvloop
 
-from sesamehold.connection import caller_http
-from sesamehold.connection import claim_client
-from sesamehold.connection import claim_handler
-from sesamehold.connection import operator_http
-from sesamehold.connection import peer_client
-from sesamehold.connection import peer_server
 from sesamehold.connection import http_listener
-from sesamehold.connection import ledger_peer
-from sesamehold.connection import operator_http
-from sesamehold.connection import peer_client
-from sesamehold.connection import platform_http
-from sesamehold.connection import seal
-from sesamehold.connection import target_http
-from sesamehold.connection import tls
-from sesamehold.process import clock as clocks
-from sesamehold.process import key_waiters
+from sesamehold.connection import peer_server
+from sesamehold.process import components
 from sesamehold.process import dump
-from sesamehold.process import local_claims
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
-from sesamehold.process import policy_dispatcher
 from sesamehold.process import settings
-from sesamehold.request import claiming
-from sesamehold.request import driver
-from sesamehold.request import policies
 from sesamehold.version import manifest
-from sesamehold.version import validation
 
 EXIT_BAD_SETTINGS = 2
-CONNECTIONS_PER_TARGET = 256
-WATCH_MS = 10_000
-PLATFORM_RETRY_S = 1.0
 SLOT_TICK_S = 0.05
 METRICS_TICK_S = 1.0
 DRAIN_POLL_S = 0.05
@@ -66,16 +39,8 @@
 class Daemon:
     """Runs the services of one host until it has drained."""
 
-    node: nodes.Node
-    _dispatcher: policy_dispatcher.PolicyDispatcher
-    _targets: target_http.HttpTargetConnector
-    _peers: peer_client.PeerClient
-    _sealer: seal.Sealer
-    _platform_session: aiohttp.ClientSession
-    _peers: peer_client.PeerClient
-    _ledger_pusher: ledger_peer.LedgerPusher
-    _caller_tls: tls.ReloadingTls | None
-    _peer_tls: tls.ReloadingTls | None
+    _parts: components.Components
+    _peer_server: peer_server.PeerServer
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
@@ -83,68 +48,26 @@
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
         """Returns a daemon; must be called with a running event loop."""
-        clock = clocks.SystemClock()
-        seed = clock.wall_ms() if config.random_seed is None else config.random_seed
-        dispatcher = policies.build(config, f"{config.host_id}:{seed}:dispatch")
-        sealer = seal.Sealer.from_keys(config.peer_keys)
-        return cls(
-            peers=peer_client.PeerClient(sealer),
-            sealer=sealer,
-            node=nodes.Node.from_config(config, clock, dispatcher),
-            dispatcher=dispatcher,
-        node = nodes.Node.from_config(config, clocks.SystemClock())
-        caller_tls = _certificate(config.caller_tls, tls.ReloadingTls.for_callers)
-        peer_tls = _certificate(config.peer_tls, tls.ReloadingTls.for_peer_client)
-        peers = peer_client.PeerClient(
-            seal.Sealer.from_keys(config.peer_keys),
-            peer_tls.context if peer_tls is not None else None,
-        )
-        return cls(
-            node=node,
-            peers=peers,
-            ledger_pusher=ledger_peer.LedgerPusher.from_node(node, peers),
-            caller_tls=caller_tls,
-            peer_tls=peer_tls,
-            targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
-            platform_session=aiohttp.ClientSession(),
-        )
+        parts = components.Components.from_config(config)
+        return cls(parts, parts.peer_server())
+
+    @property
+    def node(self) -> nodes.Node:
+        """Returns the decision state of this host."""
+        return self._parts.node
 
     async def run(self) -> None:
         """Serves until the host has drained."""
-        claims = self._compose_claims()
-        services = driver.Services(
-            clock=self.node.clock,
-            slots=self.node.slots,
-            targets=self._targets,
-            claims=claims,
-            ledger=self.node.ledger,
-            metrics=self.node.metrics,
-        )
-        config = self.node.config
-        peer_server_running = await self._listen_for_peers(claims)
-        callers = caller_http.CallerApi(self.node, services).application()
-        operators = operator_http.OperatorApi(self.node, self.start_drain).application()
-        await self._listen(callers, config.caller_address)
-        await self._listen(operators, config.operator_address)
-        self._tasks = [
-            asyncio.create_task(self._watch_configuration()),
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._read_loads()),
-        peers = self._peers
-        callers = caller_http.CallerApi(self.node, services, peers).application()
-        operators = operator_http.OperatorApi(self.node, self.start_drain, peers).application()
-        caller_tls = self._caller_tls.context if self._caller_tls is not None else None
-        await self._listen(callers, config.caller_address, caller_tls)
-        await self._listen(operators, config.operator_address, None)
-        self._tasks = [
-            asyncio.create_task(self._watch_configuration()),
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._ledger_pusher.run()),
+        parts = self._parts
+        await self._listen()
+        await parts.fleet.start()
+        self._tasks += [
+            asyncio.create_task(work)
+            for work in (self._tick(), self._read_loads(), parts.ledger_pusher.run())
         ]
-        _LOG.info("started", extra={"host_id": config.host_id})
+        _LOG.info("started", extra={"host_id": self.node.config.host_id})
         await self._stopped.wait()
-        await self._hand_over(claims)
-        await peer_server_running.close()
+        await self._hand_over()
         await self._close()
 
     def start_drain(self) -> None:
@@ -153,6 +76,7 @@
             return
         self.node.requests.draining = True
         _LOG.info("draining", extra={"open_requests": len(self.node.requests)})
+        self._parts.fleet.leave()
         self._tasks.append(asyncio.create_task(self._drain()))
 
     def log_state(self) -> None:
@@ -163,138 +87,80 @@
         deadline_ms = self.node.clock.now_ms() + self.node.config.drain_ms
         while len(self.node.requests) and self.node.clock.now_ms() < deadline_ms:
             await asyncio.sleep(DRAIN_POLL_S)
-        await self._ledger_pusher.hand_over()
         self._stopped.set()
 
-    def _compose_claims(self) -> claiming.FleetClaims:
-        node = self.node
-        waiters = key_waiters.KeyWaiters()
-        handler = claim_handler.HostClaimHandler(node.claims, waiters, node.clock)
-        return claiming.FleetClaims(
-            client=claim_client.ClaimClient(node.claims, handler, self._peers, node.clock),
-            waiters=waiters,
-            reader=self._targets,
-            slots=node.slots,
-            clock=node.clock,
-            rng=node.rng,
+    async def _listen(self) -> None:
+        config = self.node.config
+        certificates = self._parts.certificates
+        peer_address = settings.Address.parse(config.peer_address)
+        peer_tls = certificates.peer_server
+        await self._peer_server.start(
+            peer_address.ip, peer_address.port, peer_tls.context if peer_tls is not None else None
         )
-
-    async def _listen_for_peers(self, claims: claiming.FleetClaims) -> peer_server.PeerServer:
-        unavailable = peer_server.UnavailableHandler()
-        service = peer_server.PeerService(
-            claims.client.handler, unavailable, unavailable, unavailable
+        caller_tls = certificates.caller
+        await self._listen_http(
+            self._parts.caller_api().application(),
+            config.caller_address,
+            caller_tls.context if caller_tls is not None else None,
         )
-        server = peer_server.PeerServer.from_service(service, self._sealer)
-        address = settings.Address.parse(self.node.config.peer_address)
-        await server.start(address.ip, address.port, None)
-        return server
-
-    async def _hand_over(self, claims: claiming.FleetClaims) -> None:
-        await claims.client.close()
-        accepted = await claims.client.hand_over()
-        _LOG.info("handed over", extra={"accepted_records": accepted})
+        operators = self._parts.operator_api(self.start_drain).application()
+        await self._listen_http(operators, config.operator_address, None)
 
-    async def _listen(self, application: web.Application, address_text: str) -> None:
-        address = settings.Address.parse(address_text)
-    async def _listen(
-        self, application: web.Application, address: str, tls: ssl.SSLContext | None
+    async def _listen_http(
+        self, application: web.Application, address: str, context: ssl.SSLContext | None
     ) -> None:
         limits = self.node.config.limits
-        listener = await http_listener.HttpListener.start(application, address, limits, tls)
+        listener = await http_listener.HttpListener.start(application, address, limits, context)
         self._listeners.append(listener)
 
-    async def _watch_configuration(self) -> None:
-        platform = platform_http.PlatformClient(
-            self.node.config.platform_address, self._platform_session
-        )
-        while True:
-            version = self.node.version.version if self.node.version else 0
-            match await platform.watch("manifest", version, WATCH_MS):
-                case Result(tag="ok", ok=platform_http.PublishedValue(document=document)):
-                    self._offer(document)
-                case Result(tag="error"):
-                    self.node.metrics.count("configuration.platform_errors")
-                    await asyncio.sleep(PLATFORM_RETRY_S)
-                case _:
-                    pass
-
-    def _offer(self, document: object) -> None:
-        match manifest.from_json(document):
-            case Result(tag="ok", ok=version):
-                faults = validation.validate(version)
-                if faults:
-                    self._refuse(faults)
-                elif self.node.version is None or version.version > self.node.version.version:
-                    self.node.configure(version)
-                    _LOG.info("configuration in force", extra={"version": version.version})
-            case Result(error=faults):
-                self._refuse(faults)
-
-    def _refuse(self, faults: tuple[manifest.ManifestFault, ...]) -> None:
-        self.node.metrics.count("configuration.refused")
-        _LOG.warning("configuration refused", extra={"faults": [str(item) for item in faults[:5]]})
-
     async def _tick(self) -> None:
-        last_flush_ms = self.node.clock.now_ms()
+        last_slow_ms = self.node.clock.now_ms()
         while True:
             await asyncio.sleep(SLOT_TICK_S)
-            self.node.pauses.tick()
             self.node.slots.tick()
             now_ms = self.node.clock.now_ms()
-            if now_ms - last_flush_ms >= METRICS_TICK_S * 1_000:
-                last_flush_ms = now_ms
+            for notice in self._parts.notices.take_notices(now_ms):
+                self._parts.fleet.publish(notice)
+            if now_ms - last_slow_ms >= METRICS_TICK_S * 1_000:
+                last_slow_ms = now_ms
                 self.node.metrics.flush()
-                for certificate in self._certificates():
-                    certificate.reload_if_changed()
-
-    def _certificates(self) -> list[tls.ReloadingTls]:
-        return [item for item in (self._caller_tls, self._peer_tls) if item is not None]
+                self._parts.certificates.reload_if_changed()
 
     async def _read_loads(self) -> None:
         """Reads the load of targets that are not known to be warm."""
         while True:
-            targets = self._dispatcher.targets.to_probe(self.node.clock.now_ms())
+            targets = self._parts.dispatcher.targets.to_probe(self.node.clock.now_ms())
             await asyncio.gather(*(self._read_load(target) for target in targets))
             await asyncio.sleep(LOAD_POLL_S)
 
     async def _read_load(self, target: manifest.Target) -> None:
         asked_ms = self.node.clock.now_ms()
-        load = await self._targets.load(target)
+        load = await self._parts.targets.load(target)
         if load is not None:
             self.node.slots.note_report(target.id, load, asked_ms)
 
+    async def _hand_over(self) -> None:
+        await self._parts.ledger_pusher.hand_over()
+        claims = self._parts.claims.client
+        await claims.close()
+        accepted = await claims.hand_over()
+        _LOG.info("handed over", extra={"accepted_records": accepted})
+
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
         for listener in self._listeners:
             await listener.close()
-        self._peers.close()
-        await self._targets.close()
-        await self._platform_session.close()
+        await self._parts.fleet.close()
+        await self._peer_server.close()
+        self._parts.peers.close()
+        await self._parts.targets.close()
+        await self._parts.platform_session.close()
         self.node.metrics.flush()
         _LOG.info("stopped", extra={"host_id": self.node.config.host_id})
 
 
-class CertificateError(Exception):
-    """Certificate files of the settings cannot be loaded at start."""
-
-
-def _certificate(
-    files: settings.Tls | None,
-    load: Callable[[settings.Tls], Result[tls.ReloadingTls, tls.CertificateUnusable]],
-) -> tls.ReloadingTls | None:
-    if files is None:
-        return None
-    match load(files):
-        case Result(tag="ok", ok=loaded):
-            return loaded
-        case Result(error=unusable):
-            raise CertificateError(f"{unusable.path}: {unusable.reason}")
-
-
 class DaemonService(aiomisc.Service):
     """Runs a `Daemon` as an aiomisc service."""
 
@@ -344,7 +210,7 @@
             try:
                 with logs.handler().applicationbound():
                     uvloop.run(_run(config))
-            except CertificateError as error:
+            except components.CertificateError as error:
                 print(error, file=sys.stderr)
                 return EXIT_BAD_SETTINGS
             return 0
--- a/src/sesamehold/process/dump.py
+++ b/src/sesamehold/process/dump.py
@@ -18,6 +18,7 @@
     return {
         "host_id": node.config.host_id,
         "zone": node.config.zone,
+        "ready": node.is_ready(),
         "draining": node.requests.draining,
         "configuration_version": node.version.version if node.version else None,
         "open_requests": len(node.requests),
@@ -49,6 +50,7 @@
     """Returns the whole decision state, bounded to `MAX_ROWS` rows for each table."""
     return {
         "status": status(node),
+        "fleet": node.fleet.dump(),
         "configuration": _configuration(node.version),
         "open_requests_by_account": _bounded(node.requests.open_by_account()),
         "counters": _bounded(node.metrics.counters),
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import hashlib
 import json
 import random
@@ -17,7 +18,7 @@
 from sesamehold.process import dispatch
 from sesamehold.process import execution_claims
 from sesamehold.process import explanations
-from sesamehold.process import fleet_health
+from sesamehold.process import fleet_view
 from sesamehold.process import ledger as ledgers
 from sesamehold.process import ledger_copies
 from sesamehold.process import metrics
@@ -30,6 +31,7 @@
 from sesamehold.request import execution
 from sesamehold.request import ids
 from sesamehold.version import manifest
+from sesamehold.version import validation
 
 RETRY_BURST = 10.0
 
@@ -47,6 +49,11 @@
     first_submission: bool
 
 
+def _least_outstanding(fleet: fleet_view.FleetView) -> dispatch.Dispatcher:
+    del fleet
+    return dispatch.LeastOutstandingDispatcher()
+
+
 @attrs.define
 class Node:
     """Everything that one host knows and decides with."""
@@ -57,7 +64,7 @@
     metrics: metrics.Metrics
     slots: slots.SlotRegistry
     requests: requests.RequestRegistry
-    pauses: fleet_health.TickPauseDetector
+    fleet: fleet_view.FleetView
     claims: execution_claims.HostClaims
     credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
@@ -74,32 +81,39 @@
         cls,
         config: settings.Settings,
         clock: clocks.Clock,
-        dispatcher: dispatch.Dispatcher | None = None,
+        make_dispatcher: Callable[[fleet_view.FleetView], dispatch.Dispatcher] = (
+            _least_outstanding
+        ),
     ) -> Node:
         """Returns a node that knows no configuration version yet.
 
         Args:
             config: Settings of the host.
             clock: Source of time.
-            dispatcher: Assigns targets; the simplest baseline if absent.
+            make_dispatcher: Makes the dispatcher, which asks the fleet view for the quorum; the
+                simplest baseline if absent.
         """
         seed = clock.wall_ms() if config.random_seed is None else config.random_seed
         rng = random.Random(f"{config.host_id}:{seed}")
-        pauses = fleet_health.TickPauseDetector(clock)
+        gathered = metrics.Metrics.from_config(config)
+        fleet = fleet_view.FleetView.create(
+            config.host_id,
+            clock,
+            random.Random(rng.random()),
+            gathered.count,
+            validation.validate,
+        )
+        dispatcher = make_dispatcher(fleet)
         return cls(
             config=config,
             clock=clock,
             rng=rng,
-            metrics=metrics.Metrics.from_config(config),
-            slots=slots.SlotRegistry(dispatcher or dispatch.LeastOutstandingDispatcher(), clock),
+            metrics=gathered,
+            slots=slots.SlotRegistry(dispatcher, clock),
             requests=requests.RequestRegistry(clock, rng),
-            pauses=pauses,
+            fleet=fleet,
             claims=execution_claims.HostClaims.from_config(
-                config.host_id,
-                fleet_health.SoleHostQuorum(),
-                pauses,
-                clock.now_ms(),
-                clock.wall_ms(),
+                config.host_id, fleet, fleet.pause, clock.now_ms(), clock.wall_ms()
             ),
             incarnation=clock.wall_ms(),
         )
@@ -123,9 +137,13 @@
         own = ledgers.HostLedger(self.origin, self.ledger.totals)
         return [own, *self.ledger_copies.held()]
 
+    def is_ready(self) -> bool:
+        """Returns whether this host wants new requests from the load balancer."""
+        return self.version is not None and self.fleet.is_ready() and not self.requests.draining
+
     def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
         """Admits a submission or refuses it."""
-        if self.version is None or self.requests.draining:
+        if self.version is None or not self.is_ready():
             return Error(
                 errors.Draining(
                     detail="This host is starting or stopping; send the request again.",
