Add scripted faults to the stand-ins and an open-loop load tool

Cause: failures could not be produced at run time, and nothing checked answers under load.

Change: stand-ins take a fault script (slow, fail, refuse, cut, delay, repeat, shuffle, another attempt's id, crash on a marked prompt) and can make open connections silent. The engine batches continuously with a bounded prefix cache, priorities and lagged load reports, and breaks its running work when it is overloaded in cold start. The configuration service can be down or stale. The load tool compares every answer with what the stand-ins must produce, booked units with the targets' counters, and statements of "not run" with the services' execution counters.

--- a/bench/sesamehold_bench/connection/platform_http.py
+++ b/bench/sesamehold_bench/connection/platform_http.py
@@ -21,11 +21,19 @@
 
 @attrs.define(eq=False)
 class PlatformApi:
-    """Serves values; a waiting watch counts as one call."""
+    """Serves values; a waiting watch counts as one call.
 
-    values: dict[str, PublishedValue] = attrs.field(factory=dict)
+    Attributes:
+        values: Every published version of each value, oldest first.
+        calls: Number of calls.
+        down: Whether every call fails.
+        stale_version: Newest version that is served, None for the newest published one.
+    """
+
+    values: dict[str, list[PublishedValue]] = attrs.field(factory=dict)
     calls: int = 0
     down: bool = False
+    stale_version: int | None = None
     _changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     def application(self) -> web.Application:
@@ -34,6 +42,7 @@
         application.router.add_get("/v1/values/{name}", self.read)
         application.router.add_put("/control/values/{name}", self.publish)
         application.router.add_put("/control/down", self.set_down)
+        application.router.add_put("/control/stale", self.set_stale)
         application.router.add_get("/control/counters", self.counters)
         return application
 
@@ -42,7 +51,8 @@
         document = await request.json()
         async with self._changed:
             name = request.match_info["name"]
-            self.values[name] = PublishedValue(int(document["version"]), document["value"])
+            published = PublishedValue(int(document["version"]), document["value"])
+            self.values.setdefault(name, []).append(published)
             self._changed.notify_all()
         return web.json_response({"published": True})
 
@@ -53,6 +63,14 @@
             self._changed.notify_all()
         return web.json_response({"down": self.down})
 
+    async def set_stale(self, request: web.Request) -> web.Response:
+        """Serves nothing newer than a version, or everything again for null."""
+        version = (await request.json())["version"]
+        self.stale_version = None if version is None else int(version)
+        async with self._changed:
+            self._changed.notify_all()
+        return web.json_response({"stale_version": self.stale_version})
+
     async def counters(self, request: web.Request) -> web.Response:
         """Answers the number of calls."""
         del request
@@ -71,7 +89,7 @@
             pass
         if self.down:
             return web.json_response({"error": "unavailable"}, status=503)
-        value = self.values.get(name)
+        value = self._served(name)
         if value is None:
             return web.json_response({"error": "no such value"}, status=404)
         if value.version <= after_version:
@@ -79,5 +97,11 @@
         return web.json_response({"version": value.version, "value": value.value})
 
     def _newer(self, name: str, after_version: int) -> bool:
-        value = self.values.get(name)
+        value = self._served(name)
         return self.down or (value is not None and value.version > after_version)
+
+    def _served(self, name: str) -> PublishedValue | None:
+        limit = self.stale_version
+        published = self.values.get(name, [])
+        allowed = [item for item in published if limit is None or item.version <= limit]
+        return allowed[-1] if allowed else None
--- a/bench/sesamehold_bench/connection/service_http.py
+++ b/bench/sesamehold_bench/connection/service_http.py
@@ -5,12 +5,17 @@
 import asyncio
 import collections
 import json
+from typing import Any
 import uuid
 
 from aiohttp import web
 import attrs
 
+from sesamehold_bench.connection import fault_http
+from sesamehold_bench.process import faults
+
 _MS_PER_S = 1_000
+_OTHER_ATTEMPT = "0" * 32 + "/0/1"
 
 
 @attrs.frozen
@@ -21,77 +26,145 @@
         name: Name that the service puts into its output.
         capacity: Concurrent calls that it bears.
         service_ms: Time that one call takes.
+        reports_load: Whether answers carry load.
     """
 
     name: str
     capacity: int = 32
     service_ms: float = 5.0
+    reports_load: bool = True
 
 
-@attrs.define
+@attrs.define(eq=False)
 class ServiceApi:
-    """JSON protocol of one service; counts executions by idempotency key."""
+    """JSON protocol of one service; counts executions by idempotency key and by request."""
 
     config: ServiceConfig
+    control: fault_http.FaultControl = attrs.field(factory=fault_http.FaultControl)
     start_id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     running: int = 0
     total_units: int = 0
     executions: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    requests: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    _outcomes: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
         application = web.Application(client_max_size=16 * 1_048_576)
+        self.control.install(application)
         application.router.add_post("/v1/run", self.run)
         application.router.add_delete("/v1/attempts/{attempt:.+}", self.cancel)
         application.router.add_get("/v1/counters", self.counters)
         application.router.add_get("/v1/outcomes/{key:.+}", self.outcome)
         return application
 
-    async def run(self, request: web.Request) -> web.Response:
+    async def run(self, request: web.Request) -> web.StreamResponse:
         """Executes one call."""
         attempt = request.headers.get("Sesamehold-Attempt", "")
-        headers = {"Sesamehold-Attempt": attempt, "Sesamehold-Load": json.dumps(self._load())}
-        if self.running >= self.config.capacity:
-            headers["Sesamehold-Ran"] = "no"
-            return web.json_response({"error": "at capacity"}, status=503, headers=headers)
         body = await request.json()
+        self.control.crash_if_marked(_prompt_of(body))
+        script = self.control.state.draw()
+        headers = self._headers(attempt, script)
+        if script.cut is faults.Cut.BEFORE_EXECUTION:
+            fault_http.cut(request)
+        if script.fail_status is not None:
+            return web.json_response(
+                {"error": "failed"}, status=script.fail_status, headers=headers
+            )
+        if script.refuse or self.running >= self.config.capacity:
+            headers["Sesamehold-Ran"] = "no"
+            return web.json_response({"error": "refused"}, status=503, headers=headers)
+        output = await self._execute(request, attempt, body)
+        await asyncio.sleep(self.control.state.delay_s(script))
+        await self.control.passes(request)
+        if script.cut is faults.Cut.AFTER_EXECUTION:
+            fault_http.cut(request)
+        document = {
+            "attempt": headers["Sesamehold-Attempt"],
+            "output": output,
+            "usage": {"units": 1},
+        }
+        if script.repeat_replies:
+            return await _answer_twice(request, document, headers)
+        return web.json_response(document, headers=headers)
+
+    async def _execute(
+        self, request: web.Request, attempt: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
         key = request.headers.get("Idempotency-Key")
+        self.requests[attempt.partition("/")[0]] += 1
         if key is not None:
             self.executions[key] += 1
         self.running += 1
         self.total_units += 1
+        output = {"text": f"{self.config.name}({_prompt_of(body)})"}
+        if key is not None:
+            self._outcomes[key] = output
         try:
-            await asyncio.sleep(self.config.service_ms / _MS_PER_S)
+            slow_factor = self.control.state.script.slow_factor
+            await asyncio.sleep(self.config.service_ms * slow_factor / _MS_PER_S)
         finally:
             self.running -= 1
-        document = {
-            "attempt": attempt,
-            "output": {"text": self._text_of(body)},
-            "usage": {"units": 1},
-        }
-        return web.json_response(document, headers=headers)
+        return output
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Answers the work done for an attempt; a call is one unit from its start on."""
-        del request
-        return web.json_response({"units": 1})
+        executed = self.requests[request.match_info["attempt"].partition("/")[0]]
+        return web.json_response({"units": min(1, executed)})
 
     async def outcome(self, request: web.Request) -> web.Response:
-        """Answers how often a key was executed."""
+        """Answers how often a key was executed, and the output of its execution."""
         key = request.match_info["key"]
-        return web.json_response({"key": key, "executions": self.executions[key]})
+        return web.json_response(
+            {
+                "key": key,
+                "executions": self.executions[key],
+                "output": self._outcomes.get(key),
+            }
+        )
 
     async def counters(self, request: web.Request) -> web.Response:
         """Answers what the service has counted, for comparison with booked costs."""
         del request
         return web.json_response(
-            {"total_units": self.total_units, "executions": dict(self.executions)}
+            {
+                "total_units": self.total_units,
+                "executions": dict(self.executions),
+                "requests": dict(self.requests),
+            }
         )
 
-    def _text_of(self, body: dict[str, object]) -> str:
-        request_input = body.get("input")
-        prompt = request_input.get("prompt", "") if isinstance(request_input, dict) else ""
-        return f"{self.config.name}({prompt})"
-
-    def _load(self) -> dict[str, object]:
-        return {"running": self.running, "waiting": 0, "cold": False, "start_id": self.start_id}
+    def _headers(self, attempt: str, script: faults.FaultScript) -> dict[str, str]:
+        headers = {"Sesamehold-Attempt": _OTHER_ATTEMPT if script.wrong_attempt else attempt}
+        if self.config.reports_load:
+            load = {
+                "running": self.running,
+                "waiting": 0,
+                "cold": False,
+                "start_id": self.start_id,
+            }
+            headers["Sesamehold-Load"] = json.dumps(load)
+        return headers
+
+
+async def _answer_twice(
+    request: web.Request, document: dict[str, Any], headers: dict[str, str]
+) -> web.StreamResponse:
+    response = web.json_response(document, headers=headers)
+    await response.prepare(request)
+    await response.write_eof()
+    if request.transport is not None:
+        body = json.dumps(document).encode()
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+        ]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        request.transport.write("\r\n".join([*lines, "", ""]).encode() + body)
+    return response
+
+
+def _prompt_of(body: dict[str, Any]) -> str:
+    request_input = body.get("input")
+    return str(request_input.get("prompt", "")) if isinstance(request_input, dict) else ""
--- a/bench/sesamehold_bench/process/cli.py
+++ b/bench/sesamehold_bench/process/cli.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import sys
-import time
+from typing import Annotated
+from typing import Literal
 
 import cyclopts
 import uvloop
@@ -13,7 +15,11 @@
 from sesamehold_bench.connection import service_http
 from sesamehold_bench.process import demo as demos
 from sesamehold_bench.process import engine as engines
+from sesamehold_bench.process import load
+from sesamehold_bench.process import measured_run
 from sesamehold_bench.process import serve
+from sesamehold_bench.process import statsd_sink
+from sesamehold_bench.version import fleet
 
 app = cyclopts.App(name="sesamehold-bench", help=__doc__, result_action="return_value")
 
@@ -25,37 +31,54 @@
     return 0
 
 
+@app.command
+def statsd(*, address: str) -> int:
+    """Counts statsd datagrams; answers the counts on the same TCP port."""
+    serve.serve(lambda: statsd_sink.StatsdSink().application(address), address)
+    return 0
+
+
 @app.command
 def engine(
     *,
     address: str,
-    capacity_warm: int = 16,
-    capacity_cold: int = 2,
-    step_base_ms: float = 4.0,
-    cold_ms: int = 0,
+    config: Annotated[engines.EngineConfig | None, cyclopts.Parameter(name="*")] = None,
 ) -> int:
     """Serves one stand-in engine."""
-    config = engines.EngineConfig(
-        capacity_warm=capacity_warm,
-        capacity_cold=capacity_cold,
-        step_base_ms=step_base_ms,
-        cold_ms=cold_ms,
-    )
-    serve.serve(
-        lambda: engine_http.EngineApi(engines.Engine(config, time.monotonic())).application(),
-        address,
-    )
+    chosen = config or engines.EngineConfig()
+    serve.serve(lambda: engine_http.EngineApi.from_config(chosen).application(), address)
     return 0
 
 
 @app.command
-def service(*, address: str, name: str, capacity: int = 32, service_ms: float = 5.0) -> int:
+def service(
+    *,
+    address: str,
+    config: Annotated[service_http.ServiceConfig, cyclopts.Parameter(name="*")],
+) -> int:
     """Serves one stand-in service."""
-    config = service_http.ServiceConfig(name=name, capacity=capacity, service_ms=service_ms)
     serve.serve(lambda: service_http.ServiceApi(config).application(), address)
     return 0
 
 
+@app.command(name="load")
+def run_load(
+    *,
+    deployment: Literal["association", "monedero"] = "association",
+    rate_per_s: float = 40.0,
+    duration_s: float = 5.0,
+    seed: int = 1,
+) -> int:
+    """Runs an open-loop load over a local fleet and prints its report as JSON."""
+    shape = fleet.ASSOCIATION if deployment == "association" else fleet.MONEDERO
+    config = load.LoadConfig(
+        seed=seed, phases=(load.Phase(duration_s, rate_per_s),), accounts=shape.accounts
+    )
+    result = uvloop.run(measured_run.run_alone(shape, config))
+    print(json.dumps(result.report(), indent=2))
+    return 1 if result.violations() else 0
+
+
 @app.command
 def demo() -> int:
     """Runs the demonstration fleet on loopback."""
--- a/bench/sesamehold_bench/process/engine.py
+++ b/bench/sesamehold_bench/process/engine.py
@@ -1,15 +1,30 @@
-"""State of the stand-in engine: continuous batching, cold start, crashes."""
+"""State of the stand-in engine: continuous batching, prefix cache, cold start, orders."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
+import enum
+from typing import Any
 import uuid
 
 import attrs
 
+from sesamehold_bench.process import faults
+from sesamehold_bench.process import prefix_cache
 from sesamehold_bench.request import generation
 
 _MS_PER_S = 1_000
+# Attempts whose units are remembered for late cancellations.
+_MAX_ENDED = 100_000
+
+
+class Admission(enum.Enum):
+    """What an engine does with a new generation."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    BROKEN = "broken"
 
 
 @attrs.frozen
@@ -17,66 +32,170 @@
     """Behaviour of a stand-in engine.
 
     Attributes:
-        capacity_warm: Concurrent generations that a warm engine bears.
+        capacity_warm: Concurrent generations of one batch.
         capacity_cold: Concurrent generations that a cold engine bears.
+        waiting_limit: Generations that wait for a place in the batch.
         step_base_ms: Time of one decoding step with an empty batch.
         step_per_request_ms: Additional time of a step for each running generation.
-        cold_ms: Time from start until the engine is warm.
-        crash_marker: A prompt with this text ends the process; empty for never.
+        prefill_per_unit_ms: Time to process one uncached unit of the prompt.
+        cache_units: Size of the prefix cache.
+        cold_ms: Duration of a cold phase.
+        starts_cold: Whether the engine is cold when it starts.
+        load_lag_ms: Age that a load report may reach.
+        checks_fencing: Whether orders with an old fencing number are refused.
     """
 
     capacity_warm: int = 16
     capacity_cold: int = 2
+    waiting_limit: int = 8
     step_base_ms: float = 4.0
     step_per_request_ms: float = 0.2
-    cold_ms: int = 0
-    crash_marker: str = "<crash>"
+    prefill_per_unit_ms: float = 0.05
+    cache_units: int = 4_096
+    cold_ms: int = 2_000
+    starts_cold: bool = False
+    load_lag_ms: int = 100
+    checks_fencing: bool = False
 
 
 @attrs.define(eq=False)
 class Engine:
-    """Counts running generations and paces their tokens."""
+    """Runs generations in one batch; a single task produces their tokens step by step."""
 
     config: EngineConfig
-    started_s: float
+    faults: faults.FaultState
     start_id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     running: dict[str, generation.Generation] = attrs.field(factory=dict)
-    waiting: int = 0
-    total_units: int = 0
-    overloads: int = 0
-    _units_by_attempt: dict[str, int] = attrs.field(factory=dict)
+    waiting: list[generation.Generation] = attrs.field(factory=list)
+    counters: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    fence: int = -1
+    _cache: prefix_cache.PrefixCache = attrs.field(init=False)
+    _warm_s: float = 0.0
+    _ended_units: dict[str, int] = attrs.field(factory=dict)
+    _report: dict[str, Any] = attrs.field(factory=dict)
+    _report_s: float = -1e9
+    _work: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self._cache = prefix_cache.PrefixCache(self.config.cache_units)
+        if self.config.starts_cold:
+            self.turn_cold(_now_s())
 
     def cold(self, now_s: float) -> bool:
-        """Returns whether the engine is still in cold start."""
-        return (now_s - self.started_s) * _MS_PER_S < self.config.cold_ms
-
-    def capacity(self, now_s: float) -> int:
-        """Returns the number of concurrent generations that the engine bears now."""
-        return self.config.capacity_cold if self.cold(now_s) else self.config.capacity_warm
-
-    def admits(self, now_s: float) -> bool:
-        """Returns whether one more generation can start."""
-        if len(self.running) < self.capacity(now_s):
-            return True
-        self.overloads += 1
-        return False
-
-    def begin(self, item: generation.Generation) -> None:
-        """Adds a generation to the batch."""
-        self.running[item.attempt] = item
+        """Returns whether the engine is in cold start."""
+        return now_s < self._warm_s
+
+    def turn_cold(self, now_s: float) -> None:
+        """Starts a cold phase; the prefix cache is lost."""
+        self._warm_s = now_s + self.config.cold_ms / _MS_PER_S
+        self._cache.clear()
+
+    def submit(self, item: generation.Generation, now_s: float) -> Admission:
+        """Puts a generation into the batch or the queue.
+
+        A cold engine that gets more than it bears breaks its running work and starts its cold
+        phase again.
+        """
+        if self.cold(now_s):
+            if len(self.running) + len(self.waiting) >= self.config.capacity_cold:
+                self._break(now_s)
+                return Admission.BROKEN
+        elif (
+            len(self.running) >= self.config.capacity_warm
+            and len(self.waiting) >= self.config.waiting_limit
+        ):
+            self.counters["refused"] += 1
+            return Admission.REFUSED
+        self.counters["accepted"] += 1
+        self.waiting.append(item)
+        # Stable: equal priorities keep their order of arrival.
+        self.waiting.sort(key=lambda waiting: -waiting.priority)
+        self._work.set()
+        return Admission.ACCEPTED
 
     def end(self, item: generation.Generation) -> None:
-        """Removes a generation from the batch and accounts its tokens."""
-        if self.running.pop(item.attempt, None) is not None:
-            self.total_units += item.produced
-            self._units_by_attempt[item.attempt] = item.produced
-
-    def units_of(self, attempt: str) -> int:
-        """Returns the tokens produced for an attempt."""
-        item = self.running.get(attempt)
-        return item.produced if item is not None else self._units_by_attempt.get(attempt, 0)
-
-    async def step(self) -> None:
-        """Waits for one decoding step of the current batch."""
+        """Removes a generation and accounts its tokens."""
+        was_running = self.running.pop(item.attempt, None) is not None
+        if not was_running and item not in self.waiting:
+            return
+        if item in self.waiting:
+            self.waiting.remove(item)
+        self.counters["units"] += item.produced
+        self._ended_units[item.attempt] = item.produced
+        if len(self._ended_units) > _MAX_ENDED:
+            del self._ended_units[next(iter(self._ended_units))]
+
+    def cancel(self, attempt: str) -> int:
+        """Stops an attempt; returns the units produced for it."""
+        for item in [*self.running.values(), *self.waiting]:
+            if item.attempt == attempt:
+                item.stop(generation.End.CANCELLED)
+                self.end(item)
+        return self._ended_units.get(attempt, 0)
+
+    def order(self, document: dict[str, Any], now_s: float) -> bool:
+        """Takes an order; returns False if its fencing number is too old and is checked."""
+        fence = int(document.get("fence", -1))
+        if self.config.checks_fencing and fence < self.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        self.orders.append(document)
+        if document.get("order") == "load-model":
+            self.turn_cold(now_s)
+        return True
+
+    def load(self, now_s: float) -> dict[str, Any]:
+        """Returns the load report, which lags behind the state."""
+        if (now_s - self._report_s) * _MS_PER_S >= self.config.load_lag_ms:
+            self._report_s = now_s
+            self._report = {
+                "running": len(self.running),
+                "waiting": len(self.waiting),
+                "cold": self.cold(now_s),
+                "start_id": self.start_id,
+            }
+        return self._report
+
+    async def run(self) -> None:
+        """Produces tokens until it is cancelled."""
+        while True:
+            self._fill_batch(_now_s())
+            if not self.running:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(self._step_ms() / _MS_PER_S)
+            self._step(_now_s())
+
+    def _step_ms(self) -> float:
         step_ms = self.config.step_base_ms + self.config.step_per_request_ms * len(self.running)
-        await asyncio.sleep(step_ms / _MS_PER_S)
+        return step_ms * self.faults.script.slow_factor
+
+    def _step(self, now_s: float) -> None:
+        for item in list(self.running.values()):
+            if item.ready_s <= now_s:
+                item.produce()
+                if item.end is not None:
+                    self.end(item)
+
+    def _fill_batch(self, now_s: float) -> None:
+        while self.waiting and len(self.running) < self.config.capacity_warm:
+            item = self.waiting.pop(0)
+            item.cached_units = self._cache.lookup(item.prompt)
+            uncached = prefix_cache.block_count(item.prompt) - item.cached_units
+            prefill_ms = uncached * self.config.prefill_per_unit_ms
+            item.ready_s = now_s + prefill_ms * self.faults.script.slow_factor / _MS_PER_S
+            self.running[item.attempt] = item
+            self.counters["largest_batch"] = max(self.counters["largest_batch"], len(self.running))
+
+    def _break(self, now_s: float) -> None:
+        self.counters["overloads"] += 1
+        for item in [*self.running.values(), *self.waiting]:
+            item.stop(generation.End.BROKEN)
+            self.end(item)
+        self.turn_cold(now_s)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/bench/sesamehold_bench/process/local_fleet.py
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -16,6 +18,7 @@
 import attrs
 
 from sesamehold.version import manifest
+from sesamehold_bench.process import faults
 from sesamehold_bench.version import fleet
 
 READY_TIMEOUT_S = 30.0
@@ -63,7 +66,18 @@
 
 @attrs.define(eq=False)
 class LocalFleet:
-    """Entry hosts, engines, services and the configuration service of one deployment."""
+    """Entry hosts, engines, services and the configuration service of one deployment.
+
+    Attributes:
+        deployment: Shape of the deployment.
+        session: HTTP session for control calls.
+        directory: Settings and logs of the processes.
+        platform_address: Configuration service.
+        addresses: Addresses of hosts and targets.
+        version: Manifest that was published last.
+        settings: Additional settings of all entry hosts.
+        children: Started processes by name.
+    """
 
     deployment: fleet.Deployment
     session: aiohttp.ClientSession
@@ -71,6 +85,7 @@
     platform_address: str
     addresses: fleet.Addresses
     version: manifest.Manifest
+    settings: dict[str, Any] = attrs.field(factory=dict)
     children: dict[str, ChildProcess] = attrs.field(factory=dict)
 
     @classmethod
@@ -111,8 +126,8 @@
         await self.publish(self.version)
         for index in range(self.deployment.host_count):
             await self.start_host(index)
-        for caller_address, _, _ in self.addresses.hosts:
-            await self._wait_until_up(caller_address, "/healthz")
+        for index in range(self.deployment.host_count):
+            await self.wait_until_ready(index)
 
     async def start_host(self, index: int) -> None:
         """Starts one entry host."""
@@ -128,6 +143,7 @@
             "peer_keys": [PEER_KEY],
             "seeds": [peer for _, _, peer in self.addresses.hosts],
             "random_seed": index,
+            **self.settings,
         }
         path = self.directory / f"host-{index}.json"
         path.write_text(f"// Settings of host-{index}.\n{json.dumps(config, indent=2)}\n")
@@ -165,33 +181,66 @@
             codes.update(zip(chosen, results, strict=True))
         return codes
 
+    async def set_faults(self, target_id: str, script: faults.FaultScript) -> None:
+        """Puts a fault script in force at a target; the default script ends all faults."""
+        await self._control("PUT", target_id, "faults", faults.script_to_json(script))
+
+    async def silence(self, target_id: str) -> None:
+        """Makes the open connections of a target silent for good."""
+        await self._control("POST", target_id, "silence", None)
+
+    async def turn_cold(self, engine_id: str) -> None:
+        """Makes an engine cold without notice."""
+        await self._control("POST", engine_id, "cold", None)
+
+    async def configure_platform(self, name: str, document: object) -> None:
+        """Puts a fault of the configuration service in force: `down` or `stale`."""
+        url = f"http://{self.platform_address}/control/{name}"
+        async with self.session.put(url, json=document) as response:
+            response.raise_for_status()
+
+    async def start_target(self, target_id: str) -> None:
+        """Starts a target that was stopped or killed."""
+        await self._start_target(target_id, self.addresses.targets[target_id])
+        await self._wait_until_up(self.addresses.targets[target_id], "/v1/counters")
+
+    async def wait_until_ready(self, index: int) -> None:
+        """Waits until an entry host takes requests."""
+        await self._wait_until_up(self.addresses.hosts[index][0], "/healthz")
+
+    async def wait_for_version(self, version: int, indexes: Sequence[int]) -> None:
+        """Waits until a configuration version is in force on entry hosts."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for index in indexes:
+                while True:
+                    status = await self.operator_get(index, "/v1/status")
+                    if (status["configuration_version"] or 0) >= version:
+                        break
+                    await asyncio.sleep(0.05)
+
+    async def _control(self, method: str, target_id: str, name: str, document: object) -> None:
+        url = f"http://{self.addresses.targets[target_id]}/control/{name}"
+        async with self.session.request(method, url, json=document) as response:
+            response.raise_for_status()
+
     async def _start_target(self, target_id: str, address: str) -> None:
         if target_id.startswith("engine-"):
-            await self._start(
-                target_id,
-                "engine",
-                "--address",
-                address,
-                "--capacity-warm",
-                str(self.deployment.engine_capacity),
-                "--capacity-cold",
-                str(self.deployment.engine_capacity_cold),
-            )
+            deployment = self.deployment
+            options = {
+                "capacity-warm": deployment.engine_capacity,
+                "capacity-cold": deployment.engine_capacity_cold,
+                "step-base-ms": deployment.engine_step_base_ms,
+                "step-per-request-ms": deployment.engine_step_per_request_ms,
+                "cold-ms": deployment.engine_cold_ms,
+            }
+            await self._start(target_id, "engine", *_arguments({"address": address, **options}))
             return
         pool_name = target_id.rpartition("-")[0]
         pool = next(item for item in self.deployment.services if item.name == pool_name)
-        await self._start(
-            target_id,
-            "service",
-            "--address",
-            address,
-            "--name",
-            pool_name,
-            "--capacity",
-            str(pool.capacity),
-            "--service-ms",
-            str(pool.service_ms),
-        )
+        options = {"capacity": pool.capacity, "service-ms": pool.service_ms}
+        arguments = _arguments({"address": address, "name": pool_name, **options})
+        flag = "--reports-load" if pool.reports_load else "--no-reports-load"
+        await self._start(target_id, "service", *arguments, flag)
 
     async def _start(self, name: str, command: str, *arguments: str) -> None:
         await self._spawn(name, "sesamehold_bench.process.cli", command, *arguments)
@@ -215,3 +264,7 @@
                 return response.status == 200
         except aiohttp.ClientError:
             return False
+
+
+def _arguments(options: Mapping[str, object]) -> list[str]:
+    return [part for name, value in options.items() for part in (f"--{name}", str(value))]
--- a/bench/sesamehold_bench/request/generation.py
+++ b/bench/sesamehold_bench/request/generation.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import enum
 import hashlib
 
 import attrs
 
 
-@attrs.define
+class End(enum.Enum):
+    """Why a generation produces no more tokens."""
+
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    BROKEN = "broken"
+
+
+@attrs.define(eq=False)
 class Generation:
     """Produces a deterministic token sequence for a prompt.
 
@@ -20,26 +30,46 @@
         max_tokens: Number of tokens to produce.
         priority: Larger is more urgent.
         next_index: Index of the next token.
+        cached_units: Prompt units found in the prefix cache.
+        ready_s: Loop time at which the prompt has been processed.
+        produced: Number of tokens produced by this attempt.
+        end: Why it ended, None while it waits or runs.
     """
 
     attempt: str
     prompt: str
     max_tokens: int
-    priority: int
+    priority: int = 0
     next_index: int = 0
+    cached_units: int = 0
+    ready_s: float = 0.0
     produced: int = 0
+    end: End | None = None
+    _unread: list[tuple[int, str]] = attrs.field(factory=list)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    @property
-    def finished(self) -> bool:
-        """Returns whether all tokens were produced."""
-        return self.next_index >= self.max_tokens
-
-    def next_token(self) -> str:
+    def produce(self) -> None:
         """Produces the next token."""
-        token = token_at(self.prompt, self.next_index)
+        self._unread.append((self.next_index, token_at(self.prompt, self.next_index)))
         self.next_index += 1
         self.produced += 1
-        return token
+        if self.next_index >= self.max_tokens:
+            self.end = End.FINISHED
+        self._changed.set()
+
+    def stop(self, end: End) -> None:
+        """Ends the generation early."""
+        if self.end is None:
+            self.end = end
+        self._changed.set()
+
+    async def take(self) -> list[tuple[int, str]]:
+        """Waits for tokens and returns them; an empty list after the end."""
+        while not self._unread and self.end is None:
+            self._changed.clear()
+            await self._changed.wait()
+        tokens, self._unread = self._unread, []
+        return tokens
 
 
 def token_at(prompt: str, index: int) -> str:
--- /dev/null
+++ b/bench/sesamehold_bench/request/load_request.py
@@ -0,0 +1,190 @@
+"""One request of the load tool: its plan, its exchange and its outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import itertools
+import json
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+
+from sesamehold.connection import sse
+from sesamehold.version import manifest
+from sesamehold_bench.request import expected
+from sesamehold_bench.version import fleet
+
+ANSWERED = "answered"
+CONNECTION_LOST = "connection-lost"
+NO_END = "no-end"
+# Beyond its deadline a request gets this long to be answered or refused.
+GRACE_S = 20.0
+_MS_PER_S = 1_000
+
+
+@attrs.frozen
+class PlannedRequest:
+    """What one request sends.
+
+    Attributes:
+        number: Unique within a run; part of the prompt, so that every answer differs.
+        at_s: Arrival, from the start of the run.
+        host_index: Entry host.
+        account: Client account.
+        pipeline: Pipeline.
+        prompt: Prompt of the body.
+        stream: Whether the answer is streamed.
+        deadline_ms: End-to-end deadline.
+        priority: From 0 to 9.
+        key: Idempotency key, None without one.
+        submission: 1 for the first submission of the key, more for repeats.
+    """
+
+    number: int
+    at_s: float
+    host_index: int
+    account: str
+    pipeline: manifest.Pipeline
+    prompt: str
+    stream: bool
+    deadline_ms: int
+    priority: int = 0
+    key: str | None = None
+    submission: int = 1
+
+    def headers(self) -> dict[str, str]:
+        """Returns the HTTP headers."""
+        headers = {
+            "Authorization": f"Bearer {fleet.credential_of(self.account)}",
+            "Sesamehold-Deadline-Ms": str(self.deadline_ms),
+            "Sesamehold-Priority": str(self.priority),
+        }
+        if self.stream:
+            headers["Accept"] = "text/event-stream"
+        if self.key is not None:
+            headers["Idempotency-Key"] = self.key
+            headers["Sesamehold-Submission"] = str(self.submission)
+        return headers
+
+
+@attrs.frozen
+class Outcome:
+    """What one request received.
+
+    Attributes:
+        plan: The request.
+        kind: `answered`, the kind of the refusal, `connection-lost` or `no-end`.
+        ran: Statement of a refusal, None for an answer.
+        request_id: Id that the host gave, empty if unknown.
+        latency_ms: Until the end of the answer.
+        first_piece_ms: Until the first piece of a stream, None without one.
+        gaps_ms: Times between later pieces.
+        faults: Differences between the answer and what the stand-ins must produce.
+    """
+
+    plan: PlannedRequest
+    kind: str
+    ran: str | None
+    request_id: str
+    latency_ms: float
+    first_piece_ms: float | None = None
+    gaps_ms: tuple[float, ...] = ()
+    faults: tuple[str, ...] = ()
+
+    @property
+    def attained(self) -> bool:
+        """Returns whether a proper answer came within the deadline."""
+        on_time = self.latency_ms <= self.plan.deadline_ms
+        return self.kind == ANSWERED and not self.faults and on_time
+
+
+@attrs.define
+class _Received:
+    """State of the exchange while it is read."""
+
+    started_s: float
+    now_s: Callable[[], float]
+    request_id: str = ""
+    arrivals_s: list[float] = attrs.field(factory=list)
+    texts: list[str] = attrs.field(factory=list)
+    next_index: int = 0
+    final: dict[str, Any] | None = None
+    faults: list[str] = attrs.field(factory=list)
+
+    def event(self, data: bytes) -> None:
+        """Takes one event of a stream."""
+        document = json.loads(data)
+        if "index" not in document:
+            if self.final is not None:
+                self.faults.append("second end")
+            self.final = document
+            return
+        self.arrivals_s.append(self.now_s())
+        if document["index"] != self.next_index:
+            self.faults.append(f"piece {document['index']} in place of {self.next_index}")
+        self.next_index = document["index"] + document["token_count"]
+        self.texts.append(document["text"])
+
+
+async def send(session: aiohttp.ClientSession, address: str, plan: PlannedRequest) -> Outcome:
+    """Sends one request and compares its answer with the expected one."""
+    # The event loop's own clock has a resolution of 1 ms, which is too coarse for gaps.
+    received = _Received(started_s=time.monotonic(), now_s=time.monotonic)
+    timeout = aiohttp.ClientTimeout(total=plan.deadline_ms / _MS_PER_S + GRACE_S)
+    failed = CONNECTION_LOST
+    try:
+        async with session.post(
+            f"http://{address}/v1/pipelines/{plan.pipeline.name}/requests",
+            json={"prompt": plan.prompt},
+            headers=plan.headers(),
+            timeout=timeout,
+        ) as response:
+            await _read(response, received)
+    except TimeoutError:
+        failed = NO_END
+    except (aiohttp.ClientError, ConnectionError):
+        pass
+    return _outcome(plan, received, failed)
+
+
+async def _read(response: aiohttp.ClientResponse, received: _Received) -> None:
+    received.request_id = response.headers.get("Sesamehold-Request", "")
+    if response.content_type != "text/event-stream":
+        received.final = await response.json(content_type=None)
+        return
+    parser = sse.EventParser()
+    async for chunk in response.content.iter_any():
+        for data in parser.feed(chunk):
+            received.event(data)
+
+
+def _outcome(plan: PlannedRequest, received: _Received, failed: str) -> Outcome:
+    final = received.final
+    latency_ms = (received.now_s() - received.started_s) * _MS_PER_S
+    if final is None:
+        return Outcome(plan, failed, "unknown", received.request_id, latency_ms)
+    arrivals = received.arrivals_s
+    gaps = itertools.pairwise(arrivals)
+    answered = "outputs" in final
+    return Outcome(
+        plan=plan,
+        kind=ANSWERED if answered else str(final.get("type", "")).rpartition(":")[2],
+        ran=None if answered else str(final.get("ran")),
+        request_id=received.request_id or str(final.get("request_id", "")),
+        latency_ms=latency_ms,
+        first_piece_ms=(arrivals[0] - received.started_s) * _MS_PER_S if arrivals else None,
+        gaps_ms=tuple((later - earlier) * _MS_PER_S for earlier, later in gaps),
+        faults=tuple(received.faults) + (_differences(plan, received) if answered else ()),
+    )
+
+
+def _differences(plan: PlannedRequest, received: _Received) -> tuple[str, ...]:
+    wanted = expected.outputs(plan.pipeline, plan.prompt)
+    got = received.final["outputs"] if received.final else {}
+    faults = [f"stage {name} differs" for name in wanted if got.get(name) != wanted[name]]
+    faults += [f"unexpected stage {name}" for name in got if name not in wanted]
+    if received.texts and "".join(received.texts) != got.get("generate", {}).get("text"):
+        faults.append("pieces differ from the answer")
+    return tuple(faults)
--- a/bench/sesamehold_bench/version/fleet.py
+++ b/bench/sesamehold_bench/version/fleet.py
@@ -37,6 +37,9 @@
         services: The application services.
         accounts: Client accounts with their weights.
         max_tokens: Tokens of one generated answer.
+        engine_step_base_ms: Time of one decoding step with an empty batch.
+        engine_step_per_request_ms: Additional time of a step for each running generation.
+        engine_cold_ms: Duration of a cold phase.
     """
 
     name: str
@@ -48,6 +51,16 @@
     services: tuple[ServicePool, ...]
     accounts: tuple[tuple[str, float], ...]
     max_tokens: int = 32
+    engine_step_base_ms: float = 4.0
+    engine_step_per_request_ms: float = 0.2
+    engine_cold_ms: int = 2_000
+
+    @property
+    def engine_requests_per_s(self) -> float:
+        """Returns how many generations the warm engines complete each second with full batches."""
+        step_ms = self.engine_step_base_ms + self.engine_step_per_request_ms * self.engine_capacity
+        batch_per_s = 1_000 / (step_ms * self.max_tokens)
+        return self.engine_count * self.engine_capacity * batch_per_s
 
 
 def _services(target_count: int) -> tuple[ServicePool, ...]:
@@ -224,3 +237,12 @@
         manifest.Pipeline(name="summary", owner=owner, stages=(*stages, generate)),
         manifest.Pipeline(name="order", owner=owner, stages=(*stages[:2], *order)),
     )
+
+
+def with_zone(version: manifest.Manifest, zone: str, *, in_service: bool) -> manifest.Manifest:
+    """Returns the next version, with a zone out of service or back in."""
+    zones = tuple(
+        attrs.evolve(item, in_service=in_service) if item.name == zone else item
+        for item in version.zones
+    )
+    return attrs.evolve(version, version=version.version + 1, zones=zones)
