Close silent connections to targets and test failures with real processes

Cause: a call whose connection went silent waited for its whole deadline, and no test met failures of real processes.

Change: liveness.py judges an exchange by the chunks it received and by probes of /healthz on a fresh connection. A working probe and no progress within the bound closes the connection with AttemptFault.SILENT; three failed probes in a row end it as lost. The bound is 1 s within a stream, half of the remaining time (at least 1 s) before the first byte of a repeatable call, and the pool's max_service_ms for a call that must not be repeated. Each target has a session of its own, so that its idle connections are given up together.

--- a/bench/sesamehold_bench/connection/engine_http.py
+++ b/bench/sesamehold_bench/connection/engine_http.py
@@ -64,6 +64,7 @@
                 "running": len(self.engine.running),
                 "overloads": counters["overloads"],
                 "accepted": counters["accepted"],
+                "tokens": counters["tokens"],
                 "orders": self.engine.orders,
             }
         )
--- a/bench/sesamehold_bench/process/engine.py
+++ b/bench/sesamehold_bench/process/engine.py
@@ -176,6 +176,7 @@
         for item in list(self.running.values()):
             if item.ready_s <= now_s:
                 item.produce()
+                self.counters["tokens"] += 1
                 if item.end is not None:
                     self.end(item)
 
--- a/bench/sesamehold_bench/process/local_fleet.py
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -25,6 +25,7 @@
 STOP_TIMEOUT_S = 30.0
 OPERATOR_CREDENTIAL = "operator-secret-for-tests"
 PEER_KEY = "peer-key-for-tests-only"
+_NO_FAULT: dict[str, object] = {"down": {"down": False}, "stale": {"version": None}}
 
 
 @attrs.define(eq=False)
@@ -39,6 +40,11 @@
         if self.process.returncode is None:
             self.process.send_signal(signal_number)
 
+    @property
+    def ended(self) -> bool:
+        """Returns whether the process has ended."""
+        return self.process.returncode is not None
+
     async def stop(self) -> int:
         """Stops the process gracefully and returns its exit code."""
         self.send_signal(signal.SIGTERM)
@@ -204,6 +210,33 @@
         await self._start_target(target_id, self.addresses.targets[target_id])
         await self._wait_until_up(self.addresses.targets[target_id], "/v1/counters")
 
+    async def restore(self) -> None:
+        """Ends all faults and starts what has ended, so that the fleet serves as at the start."""
+        for name in ("down", "stale"):
+            await self.configure_platform(name, _NO_FAULT[name])
+        for target_id in self.addresses.targets:
+            if self.children[target_id].ended:
+                await self.start_target(target_id)
+            else:
+                await self.set_faults(target_id, faults.FaultScript())
+        await self.publish(fleet.with_all_zones(self.version))
+        for index in range(self.deployment.host_count):
+            self.children[f"host-{index}"].send_signal(signal.SIGCONT)
+            if self.children[f"host-{index}"].ended:
+                await self.start_host(index)
+            await self.wait_until_ready(index)
+        await self.wait_for_version(self.version.version, range(self.deployment.host_count))
+
+    async def set_faults_of_pool(self, pool_name: str, script: faults.FaultScript) -> None:
+        """Puts a fault script in force at all targets of a pool."""
+        for target in self.targets_of(pool_name):
+            await self.set_faults(target, script)
+
+    def targets_of(self, pool_name: str) -> list[str]:
+        """Returns the target ids of a pool."""
+        pool = self.version.pool(pool_name)
+        return [target.id for target in pool.targets] if pool is not None else []
+
     async def wait_until_ready(self, index: int) -> None:
         """Waits until an entry host takes requests."""
         await self._wait_until_up(self.addresses.hosts[index][0], "/healthz")
--- a/bench/sesamehold_bench/version/fleet.py
+++ b/bench/sesamehold_bench/version/fleet.py
@@ -21,6 +21,7 @@
     service_ms: float = 5.0
     reports_load: bool = True
     repeatable: bool = True
+    max_service_ms: int = 30_000
 
 
 @attrs.frozen
@@ -107,6 +108,24 @@
 )
 
 
+# The smallest fleet for tests of failures. The capacities bear the work of all hosts together, so
+# that a target refuses only when a test tells it to.
+SMALL = Deployment(
+    name="small",
+    zones=("zone-a", "zone-b", "zone-c"),
+    host_count=3,
+    engine_count=3,
+    engine_capacity=100,
+    engine_capacity_cold=2,
+    services=tuple(
+        attrs.evolve(pool, target_count=count, capacity=400, max_service_ms=2_000)
+        for pool, count in zip(_services(1), (2, 1, 1, 2), strict=True)
+    ),
+    accounts=(("small-1", 2.0), ("small-2", 1.0)),
+    max_tokens=24,
+)
+
+
 @attrs.frozen
 class Addresses:
     """Addresses of a fleet on loopback, as `ip:port`."""
@@ -205,6 +224,7 @@
             ),
             capacity_warm=pool.capacity,
             capacity_cold=max(1, pool.capacity // 8),
+            max_service_ms=pool.max_service_ms,
             reports_load=pool.reports_load,
             readback=not pool.repeatable,
             cost_per_unit=10,
@@ -246,3 +266,9 @@
         for item in version.zones
     )
     return attrs.evolve(version, version=version.version + 1, zones=zones)
+
+
+def with_all_zones(version: manifest.Manifest) -> manifest.Manifest:
+    """Returns the next version, with all zones in service."""
+    zones = tuple(attrs.evolve(zone, in_service=True) for zone in version.zones)
+    return attrs.evolve(version, version=version.version + 1, zones=zones)
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import types
 from typing import Any
@@ -16,7 +17,10 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import liveness
 from sesamehold.connection import sse
+from sesamehold.connection import target_sessions
+from sesamehold.process import clock as clocks
 from sesamehold.process import dispatch
 from sesamehold.request import calls
 from sesamehold.request import errors
@@ -33,7 +37,6 @@
 KEY_HEADER = "Idempotency-Key"
 
 CANCEL_TIMEOUT_S = 2.0
-CONNECT_TIMEOUT_S = 1.0
 # Time that a target gets beyond the deadline to answer that it stopped.
 DEADLINE_GRACE_S = 0.25
 _MS_PER_S = 1_000
@@ -45,97 +48,169 @@
 
 @attrs.define
 class HttpTargetConnector:
-    """Target calls over pooled HTTP connections.
+    """Target calls over HTTP.
 
-    Connection reuse is left to aiohttp; requests with POST are never repeated by it.
+    Connection reuse is left to aiohttp; requests with POST are never repeated by it. Calls that
+    must not be repeated go over a new connection, because a kept-alive one may be dead or carry a
+    late reply, which would leave their outcome unknown.
     """
 
-    _session: aiohttp.ClientSession
+    _sessions: target_sessions.TargetSessions
+    _clock: clocks.Clock
 
     @classmethod
-    def from_config(cls, connections_per_target: int) -> HttpTargetConnector:
+    def from_config(cls, connections_per_target: int, clock: clocks.Clock) -> HttpTargetConnector:
         """Returns a connector; must be called with a running event loop."""
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_check_before_write)
         trace.on_connection_reuseconn.append(_check_before_write)
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=connections_per_target)
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-        return cls(
-            aiohttp.ClientSession(
-                connector=connector,
-                timeout=timeout,
-                trace_configs=[trace],
-                cookie_jar=aiohttp.DummyCookieJar(),
-                raise_for_status=False,
-            )
-        )
+        sessions = target_sessions.TargetSessions.from_config(connections_per_target, trace)
+        return cls(sessions, clock)
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._session.close()
+        await self._sessions.close()
 
     async def call(
         self, call: calls.TargetCall, on_pieces: calls.PieceHandler
     ) -> Result[calls.CallSuccess, calls.CallFault]:
         """Sends one call and waits for its complete answer."""
-        written = _WriteMark(call)
-        timeout_s = call.remaining_ms / _MS_PER_S + DEADLINE_GRACE_S
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        try:
-            async with self._session.post(
-                f"http://{call.target.address}{call.stage.path}",
-                data=json.dumps(_body_of(call)).encode(),
-                headers=_headers_of(call),
-                timeout=timeout,
-                trace_request_ctx=written,
-            ) as response:
-                return await _read_answer(call, response, on_pieces)
-        except _NotDispatchedError:
-            return Error(calls.CallFault(events.AttemptFault.CANCELLED, errors.Ran.NO))
-        except TimeoutError:
-            return Error(calls.CallFault(events.AttemptFault.TIMEOUT, written.ran()))
-        except aiohttp.ClientConnectorError:
-            return Error(calls.CallFault(events.AttemptFault.NO_CONNECTION, errors.Ran.NO))
-        except (aiohttp.ClientError, ConnectionError):
-            return Error(calls.CallFault(events.AttemptFault.CONNECTION_LOST, written.ran()))
-        except (ValueError, KeyError, TypeError):
-            return Error(calls.CallFault(events.AttemptFault.BAD_ANSWER, written.ran()))
+        exchange = _Exchange(call)
+        if not call.stage.repeatable:
+            return await self._watched(exchange, self._sessions.fresh, on_pieces)
+        async with self._sessions.pooled(call.target.address) as session:
+            return await self._watched(exchange, session, on_pieces)
 
     async def cancel(self, target: manifest.Target, attempt: ids.AttemptId) -> events.Usage | None:
         """Cancels an attempt and returns the work done for it."""
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        url = f"http://{target.address}/v1/attempts/{attempt.encode()}"
         try:
-            async with self._session.delete(
-                f"http://{target.address}/v1/attempts/{attempt.encode()}", timeout=timeout
-            ) as response:
+            # A new connection, because the kept-alive ones of a cancelled call may be silent.
+            async with self._sessions.fresh.delete(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
                 return _usage_of(await response.json())
         except (aiohttp.ClientError, ConnectionError, TimeoutError, ValueError, TypeError):
             return None
 
+    async def _watched(
+        self,
+        exchange: _Exchange,
+        session: aiohttp.ClientSession,
+        on_pieces: calls.PieceHandler,
+    ) -> Result[calls.CallSuccess, calls.CallFault]:
+        """Exchanges call and answer while a second task watches for silence."""
+        try:
+            async with asyncio.timeout(None) as scope:
+                watch = asyncio.create_task(self._watch(exchange, scope))
+                try:
+                    return await _exchange(exchange, session, on_pieces)
+                finally:
+                    watch.cancel()
+        except TimeoutError:
+            return Error(await self._give_up(exchange))
+
+    async def _watch(self, exchange: _Exchange, scope: asyncio.Timeout) -> None:
+        call = exchange.call
+        state = liveness.ConnectionLiveness(
+            first_byte_bound_ms=liveness.first_byte_bound_ms(
+                repeatable=call.stage.repeatable,
+                remaining_ms=call.remaining_ms,
+                max_service_ms=call.max_service_ms,
+            ),
+            since_ms=self._clock.now_ms(),
+        )
+        while exchange.verdict is liveness.Verdict.WAIT:
+            step = state.observe(exchange.progress, self._clock.now_ms())
+            if step.verdict is liveness.Verdict.PROBE:
+                worked = await self._sessions.probe(call.target.address)
+                step = state.probed(
+                    worked=worked, progress=exchange.progress, now_ms=self._clock.now_ms()
+                )
+            exchange.verdict = step.verdict
+            await asyncio.sleep(step.wait_ms / _MS_PER_S)
+        scope.reschedule(asyncio.get_running_loop().time())
+
+    async def _give_up(self, exchange: _Exchange) -> calls.CallFault:
+        call = exchange.call
+        if exchange.verdict is liveness.Verdict.UNREACHABLE:
+            return exchange.fault(events.AttemptFault.CONNECTION_LOST)
+        self._sessions.retire(call.target.address)
+        fault = exchange.fault(events.AttemptFault.SILENT)
+        if not call.stage.repeatable:
+            return fault
+        # The target does not know that its answer gets lost and would finish the work.
+        usage = await self.cancel(call.target, call.attempt)
+        return fault if usage is None else attrs.evolve(fault, usage=usage)
+
 
 @attrs.define
-class _WriteMark:
-    """Remembers whether bytes of the call may have reached the target."""
+class _Exchange:
+    """Progress of one call.
+
+    Attributes:
+        call: The call.
+        written: Whether bytes of the call may have reached the target.
+        progress: Number of chunks received.
+        received_tokens: Tokens received.
+        load: Latest load report.
+        verdict: Why the exchange was given up, `WAIT` if it was not.
+    """
 
     call: calls.TargetCall
     written: bool = False
+    progress: int = 0
+    received_tokens: int = 0
+    load: dispatch.LoadReport | None = None
+    verdict: liveness.Verdict = liveness.Verdict.WAIT
+
+    def fault(self, fault: events.AttemptFault, ran: errors.Ran | None = None) -> calls.CallFault:
+        """Returns a fault with what is known about execution and work."""
+        if ran is None:
+            ran = errors.Ran.UNKNOWN if self.written else errors.Ran.NO
+        return calls.CallFault(fault, ran, events.Usage(units=self.received_tokens), self.load)
 
-    def ran(self) -> errors.Ran:
-        return errors.Ran.UNKNOWN if self.written else errors.Ran.NO
+
+async def _exchange(
+    exchange: _Exchange, session: aiohttp.ClientSession, on_pieces: calls.PieceHandler
+) -> Result[calls.CallSuccess, calls.CallFault]:
+    call = exchange.call
+    timeout_s = call.remaining_ms / _MS_PER_S + DEADLINE_GRACE_S
+    try:
+        async with session.post(
+            f"http://{call.target.address}{call.stage.path}",
+            data=json.dumps(_body_of(call)).encode(),
+            headers=_headers_of(call),
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s, sock_connect=target_sessions.CONNECT_TIMEOUT_S
+            ),
+            trace_request_ctx=exchange,
+        ) as response:
+            exchange.progress += 1
+            return await _read_answer(exchange, response, on_pieces)
+    except _NotDispatchedError:
+        return Error(exchange.fault(events.AttemptFault.CANCELLED, errors.Ran.NO))
+    except TimeoutError:
+        return Error(exchange.fault(events.AttemptFault.TIMEOUT))
+    except aiohttp.ClientConnectorError:
+        return Error(exchange.fault(events.AttemptFault.NO_CONNECTION, errors.Ran.NO))
+    except (aiohttp.ClientError, ConnectionError):
+        return Error(exchange.fault(events.AttemptFault.CONNECTION_LOST))
+    except (ValueError, KeyError, TypeError):
+        return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
 
 
 async def _check_before_write(
     session: aiohttp.ClientSession, context: types.SimpleNamespace, params: object
 ) -> None:
     del session, params
-    mark = context.trace_request_ctx
-    if mark is None:
+    exchange = context.trace_request_ctx
+    if exchange is None:
         return
-    if not mark.call.before_write():
+    if not exchange.call.before_write():
         raise _NotDispatchedError
-    mark.written = True
+    exchange.written = True
 
 
 def _headers_of(call: calls.TargetCall) -> dict[str, str]:
@@ -169,50 +244,45 @@
 
 
 async def _read_answer(
-    call: calls.TargetCall, response: aiohttp.ClientResponse, on_pieces: calls.PieceHandler
+    exchange: _Exchange, response: aiohttp.ClientResponse, on_pieces: calls.PieceHandler
 ) -> Result[calls.CallSuccess, calls.CallFault]:
-    load = _load_of(response.headers.get(LOAD_HEADER))
+    call = exchange.call
+    exchange.load = _load_of(response.headers.get(LOAD_HEADER))
     if response.headers.get(ATTEMPT_HEADER) != call.attempt.encode():
-        return Error(calls.CallFault(events.AttemptFault.BAD_ANSWER, errors.Ran.UNKNOWN, load=load))
+        return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
     if response.status != 200:
-        return Error(_fault_of(response, load))
+        return Error(_fault_of(response, exchange))
     if call.stage.kind is manifest.StageKind.GENERATE:
-        return await _read_stream(call, response, on_pieces, load)
+        return await _read_stream(exchange, response, on_pieces)
     document = await response.json()
     if document["attempt"] != call.attempt.encode():
-        return Error(calls.CallFault(events.AttemptFault.BAD_ANSWER, errors.Ran.UNKNOWN, load=load))
+        return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
     output = document["output"]
     if not isinstance(output, dict):
         raise TypeError("output of a service must be an object")
-    return Ok(calls.CallSuccess(output, _usage_of(document.get("usage", {})), load))
+    usage = _usage_of(document.get("usage", {}))
+    return Ok(calls.CallSuccess(output, usage, exchange.load))
 
 
 async def _read_stream(
-    call: calls.TargetCall,
-    response: aiohttp.ClientResponse,
-    on_pieces: calls.PieceHandler,
-    load: dispatch.LoadReport | None,
+    exchange: _Exchange, response: aiohttp.ClientResponse, on_pieces: calls.PieceHandler
 ) -> Result[calls.CallSuccess, calls.CallFault]:
-    reader = _StreamReader(call.attempt.encode())
+    reader = _StreamReader(exchange.call.attempt.encode())
     parser = sse.EventParser()
     content = response.content
-    try:
-        while not reader.done:
-            chunk = await content.readany()
-            if not chunk:
-                break
-            pieces = [piece for data in parser.feed(chunk) if (piece := reader.read(data))]
-            if pieces and not await on_pieces(pieces):
-                return Error(reader.fault(events.AttemptFault.BAD_ANSWER, load))
-    except (aiohttp.ClientError, ConnectionError):
-        return Error(reader.fault(events.AttemptFault.CONNECTION_LOST, load))
-    except TimeoutError:
-        return Error(reader.fault(events.AttemptFault.TIMEOUT, load))
-    except (ValueError, KeyError, TypeError):
-        return Error(reader.fault(events.AttemptFault.BAD_ANSWER, load))
+    while not reader.done:
+        chunk = await content.readany()
+        if not chunk:
+            break
+        exchange.progress += 1
+        pieces = [piece for data in parser.feed(chunk) if (piece := reader.read(data))]
+        exchange.received_tokens = reader.received_tokens
+        if pieces and not await on_pieces(pieces):
+            return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
     if not reader.done or not reader.finished:
-        return Error(reader.fault(events.AttemptFault.CONNECTION_LOST, load))
-    return Ok(calls.CallSuccess({"text": reader.text()}, reader.usage, reader.load or load))
+        return Error(exchange.fault(events.AttemptFault.CONNECTION_LOST))
+    load = reader.load or exchange.load
+    return Ok(calls.CallSuccess({"text": reader.text()}, reader.usage, load))
 
 
 @attrs.define
@@ -224,7 +294,7 @@
     finished: bool = False
     usage: events.Usage = events.Usage()
     load: dispatch.LoadReport | None = None
-    _received_tokens: int = 0
+    received_tokens: int = 0
     _texts: list[str] = attrs.field(factory=list)
 
     def read(self, data: bytes) -> calls.Piece | None:
@@ -240,7 +310,7 @@
             self._finish(document)
             return None
         token_count = document["token_count"]
-        self._received_tokens += token_count
+        self.received_tokens += token_count
         self._texts.append(choice["text"])
         return calls.Piece(document["index"], token_count, choice["text"])
 
@@ -252,23 +322,15 @@
     def text(self) -> str:
         return "".join(self._texts)
 
-    def fault(
-        self, fault: events.AttemptFault, load: dispatch.LoadReport | None
-    ) -> calls.CallFault:
-        usage = events.Usage(units=self._received_tokens)
-        return calls.CallFault(fault, errors.Ran.UNKNOWN, usage, load)
-
 
-def _fault_of(
-    response: aiohttp.ClientResponse, load: dispatch.LoadReport | None
-) -> calls.CallFault:
+def _fault_of(response: aiohttp.ClientResponse, exchange: _Exchange) -> calls.CallFault:
     not_run = response.headers.get(RAN_HEADER) == errors.Ran.NO.value
-    if response.status == 503 and not_run:
-        cold = load is not None and load.cold
-        fault = events.AttemptFault.REFUSED_COLD if cold else events.AttemptFault.REFUSED
-        return calls.CallFault(fault, errors.Ran.NO, load=load)
     ran = errors.Ran.NO if not_run else errors.Ran.UNKNOWN
-    return calls.CallFault(events.AttemptFault.ERROR_ANSWER, ran, load=load)
+    if response.status != 503 or not not_run:
+        return exchange.fault(events.AttemptFault.ERROR_ANSWER, ran)
+    cold = exchange.load is not None and exchange.load.cold
+    fault = events.AttemptFault.REFUSED_COLD if cold else events.AttemptFault.REFUSED
+    return exchange.fault(fault, ran)
 
 
 def _usage_of(document: Any) -> events.Usage:
--- /dev/null
+++ b/src/sesamehold/connection/target_sessions.py
@@ -0,0 +1,111 @@
+"""HTTP sessions to targets: one pool of connections for each target, and fresh connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+import attrs
+
+from sesamehold.connection import liveness
+
+CONNECT_TIMEOUT_S = 1.0
+_MS_PER_S = 1_000
+
+
+@attrs.define(eq=False)
+class _PooledSession:
+    session: aiohttp.ClientSession
+    open_calls: int = 0
+    retired: bool = False
+
+
+@attrs.define(eq=False)
+class TargetSessions:
+    """Sessions by target address.
+
+    Each target has a session of its own, so that all its idle connections can be given up at once
+    when one of its connections proves silent.
+    """
+
+    _connections_per_target: int
+    _trace: aiohttp.TraceConfig
+    _fresh: aiohttp.ClientSession
+    _pooled: dict[str, _PooledSession] = attrs.field(factory=dict)
+    _probes: dict[str, asyncio.Task[bool]] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(cls, connections_per_target: int, trace: aiohttp.TraceConfig) -> TargetSessions:
+        """Returns sessions; must be called with a running event loop."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        return cls(connections_per_target, trace, _session(connector, trace))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for probe in self._probes.values():
+            probe.cancel()
+        await self._fresh.close()
+        for pooled in self._pooled.values():
+            await pooled.session.close()
+        self._pooled.clear()
+
+    @property
+    def fresh(self) -> aiohttp.ClientSession:
+        """Returns the session that opens a new connection for each call."""
+        return self._fresh
+
+    @contextlib.asynccontextmanager
+    async def pooled(self, address: str) -> AsyncIterator[aiohttp.ClientSession]:
+        """Lends the session with kept-alive connections to a target."""
+        entry = self._pooled.get(address)
+        if entry is None:
+            connector = aiohttp.TCPConnector(limit=0, limit_per_host=self._connections_per_target)
+            entry = _PooledSession(_session(connector, self._trace))
+            self._pooled[address] = entry
+        entry.open_calls += 1
+        try:
+            yield entry.session
+        finally:
+            entry.open_calls -= 1
+            if entry.retired and not entry.open_calls:
+                await entry.session.close()
+
+    def retire(self, address: str) -> None:
+        """Gives up the kept-alive connections to a target; calls that run on them go on."""
+        entry = self._pooled.pop(address, None)
+        if entry is not None:
+            # The call that found the silence still holds the session, so its end closes it.
+            entry.retired = True
+
+    async def probe(self, address: str) -> bool:
+        """Returns whether the target answers on a fresh connection.
+
+        Calls that wait on the same target share one probe.
+        """
+        probe = self._probes.get(address)
+        if probe is None:
+            probe = asyncio.create_task(self._probe(address))
+            self._probes[address] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(address, None))
+        return await asyncio.shield(probe)
+
+    async def _probe(self, address: str) -> bool:
+        timeout = aiohttp.ClientTimeout(total=liveness.PROBE_TIMEOUT_MS / _MS_PER_S)
+        try:
+            async with self._fresh.get(f"http://{address}/healthz", timeout=timeout):
+                # Any answer shows that new connections work.
+                return True
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            return False
+
+
+def _session(connector: aiohttp.TCPConnector, trace: aiohttp.TraceConfig) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        trace_configs=[trace],
+        cookie_jar=aiohttp.DummyCookieJar(),
+        raise_for_status=False,
+    )
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -57,9 +57,10 @@
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
         """Returns a daemon; must be called with a running event loop."""
+        clock = clocks.SystemClock()
         return cls(
-            node=nodes.Node.from_config(config, clocks.SystemClock()),
-            targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET),
+            node=nodes.Node.from_config(config, clock),
+            targets=target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET, clock),
             platform_session=aiohttp.ClientSession(),
         )
 
--- a/src/sesamehold/request/calls.py
+++ b/src/sesamehold/request/calls.py
@@ -43,6 +43,7 @@
         resume_index: Token index to resume a stream from.
         resume_text: Text that was delivered before `resume_index`.
         before_write: Asked once a connection is open, right before the first byte is written.
+        max_service_ms: Longest time that a call to this pool takes.
     """
 
     attempt: ids.AttemptId
@@ -56,6 +57,7 @@
     resume_index: int
     resume_text: str
     before_write: Callable[[], bool]
+    max_service_ms: int = 30_000
 
 
 @attrs.frozen
--- a/src/sesamehold/request/driver.py
+++ b/src/sesamehold/request/driver.py
@@ -285,6 +285,7 @@
             resume_index=action.resume_index,
             resume_text=action.resume_text,
             before_write=before_write,
+            max_service_ms=slot.pool.max_service_ms,
         )
 
     def _trace(self, kind: str, rule: str = "", **figures: Any) -> None:
--- /dev/null
+++ b/testing/fleet_session.py
@@ -0,0 +1,116 @@
+"""One fleet of real processes that the tests of a module share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterator
+import contextlib
+import time
+from typing import Any
+from typing import TypeVar
+
+import aiohttp
+import attrs
+from sesamehold_bench.process import fleet_counts
+from sesamehold_bench.process import load
+from sesamehold_bench.process import load_report
+from sesamehold_bench.process import local_fleet
+from sesamehold_bench.request import load_request
+from sesamehold_bench.version import fleet
+import uvloop
+
+from sesamehold.request import ids
+
+T = TypeVar("T")
+
+# Generous, so that a verdict never depends on the speed of the machine.
+DEADLINE_MS = 60_000
+WAIT_S = 60.0
+
+
+@attrs.define(eq=False)
+class FleetSession:
+    """Runs coroutines against a running fleet."""
+
+    fleet: local_fleet.LocalFleet
+    _runner: asyncio.Runner
+    _numbers: int = 0
+
+    def run(self, coroutine: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine to its end."""
+        return self._runner.run(coroutine)
+
+    def plan(
+        self, pipeline: str, host_index: int = 0, **fields: Any
+    ) -> load_request.PlannedRequest:
+        """Returns a request with a prompt of its own."""
+        self._numbers += 1
+        found = self.fleet.version.pipeline(pipeline)
+        assert found is not None
+        values: dict[str, Any] = {
+            "number": self._numbers,
+            "at_s": 0.0,
+            "host_index": host_index,
+            "account": self.fleet.deployment.accounts[0][0],
+            "pipeline": found,
+            "prompt": f"question {self._numbers}",
+            "stream": found.repeatable,
+            "deadline_ms": DEADLINE_MS,
+        }
+        return load_request.PlannedRequest(**{**values, **fields})
+
+    def new_key(self) -> str:
+        """Returns a new UUIDv7 key."""
+        self._numbers += 1
+        return ids.uuid7(time.time_ns() // 1_000_000, self._numbers)
+
+    async def send(self, *plans: load_request.PlannedRequest) -> list[load_request.Outcome]:
+        """Sends requests at once and waits for their outcomes."""
+        return await load.run(plans, [caller for caller, _, _ in self.fleet.addresses.hosts])
+
+    async def target_sum(self, counter: str, *target_ids: str) -> int:
+        """Returns the sum of one counter over targets."""
+        documents = [await self.fleet.target_counters(target_id) for target_id in target_ids]
+        return sum(document[counter] for document in documents)
+
+    async def violations(self, outcomes: list[load_request.Outcome]) -> list[str]:
+        """Returns every breach of an invariant by these outcomes.
+
+        Counters grow over all tests of the shared fleet, so other requests' keys are left out.
+        """
+        counts, complete = await fleet_counts.read_targets(self.fleet)
+        own = {
+            f"{outcome.plan.account}:{outcome.plan.key or outcome.request_id}"
+            for outcome in outcomes
+        }
+        executions = {key: count for key, count in counts.executions.items() if key in own}
+        counts = attrs.evolve(counts, executions=executions)
+        return load_report.violations(outcomes, counts, complete=complete)
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+@contextlib.contextmanager
+def small_fleet() -> Iterator[FleetSession]:
+    """Starts the small fleet and stops it at the end."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        session = runner.run(_session())
+        running = local_fleet.LocalFleet.from_config(fleet.SMALL, session)
+        try:
+            runner.run(running.start())
+            yield FleetSession(running, runner)
+        finally:
+            runner.run(running.stop())
+            runner.run(session.close())
+
+
+async def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession()
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -76,6 +76,7 @@
         "request/events.py",
         "request/stream.py",
         "request/deadline.py",
+        "connection/liveness.py",
         "process/dispatch.py",
         "process/retry_budget.py",
         "process/ledger.py",
