--- a/bench/sesamehold_bench/version/fleet.py
+++ b/bench/sesamehold_bench/version/fleet.py
@@ -21,6 +21,7 @@
     service_ms: float = 5.0
     reports_load: bool = True
     repeatable: bool = True
+    max_service_ms: int = 30_000
 
 
 @attrs.frozen
@@ -37,6 +38,9 @@
         services: The application services.
         accounts: Client accounts with their weights.
         max_tokens: Tokens of one generated answer.
+        engine_step_base_ms: Time of one decoding step with an empty batch.
+        engine_step_per_request_ms: Additional time of a step for each running generation.
+        engine_cold_ms: Duration of a cold phase.
     """
 
     name: str
@@ -48,6 +52,16 @@
     services: tuple[ServicePool, ...]
     accounts: tuple[tuple[str, float], ...]
     max_tokens: int = 32
+    engine_step_base_ms: float = 4.0
+    engine_step_per_request_ms: float = 0.2
+    engine_cold_ms: int = 2_000
+
+    @property
+    def engine_requests_per_s(self) -> float:
+        """Returns how many generations the warm engines complete each second with full batches."""
+        step_ms = self.engine_step_base_ms + self.engine_step_per_request_ms * self.engine_capacity
+        batch_per_s = 1_000 / (step_ms * self.max_tokens)
+        return self.engine_count * self.engine_capacity * batch_per_s
 
 
 def _services(target_count: int) -> tuple[ServicePool, ...]:
@@ -94,6 +108,24 @@
 )
 
 
+# The smallest fleet for tests of failures. The capacities bear the work of all hosts together, so
+# that a target refuses only when a test tells it to.
+SMALL = Deployment(
+    name="small",
+    zones=("zone-a", "zone-b", "zone-c"),
+    host_count=3,
+    engine_count=3,
+    engine_capacity=100,
+    engine_capacity_cold=2,
+    services=tuple(
+        attrs.evolve(pool, target_count=count, capacity=400, max_service_ms=2_000)
+        for pool, count in zip(_services(1), (2, 1, 1, 2), strict=True)
+    ),
+    accounts=(("small-1", 2.0), ("small-2", 1.0)),
+    max_tokens=24,
+)
+
+
 @attrs.frozen
 class Addresses:
     """Addresses of a fleet on loopback, as `ip:port`."""
@@ -192,6 +224,7 @@
             ),
             capacity_warm=pool.capacity,
             capacity_cold=max(1, pool.capacity // 8),
+            max_service_ms=pool.max_service_ms,
             reports_load=pool.reports_load,
             readback=not pool.repeatable,
             cost_per_unit=10,
@@ -224,3 +257,18 @@
         manifest.Pipeline(name="summary", owner=owner, stages=(*stages, generate)),
         manifest.Pipeline(name="order", owner=owner, stages=(*stages[:2], *order)),
     )
+
+
+def with_zone(version: manifest.Manifest, zone: str, *, in_service: bool) -> manifest.Manifest:
+    """Returns the next version, with a zone out of service or back in."""
+    zones = tuple(
+        attrs.evolve(item, in_service=in_service) if item.name == zone else item
+        for item in version.zones
+    )
+    return attrs.evolve(version, version=version.version + 1, zones=zones)
+
+
+def with_all_zones(version: manifest.Manifest) -> manifest.Manifest:
+    """Returns the next version, with all zones in service."""
+    zones = tuple(attrs.evolve(zone, in_service=True) for zone in version.zones)
+    return attrs.evolve(version, version=version.version + 1, zones=zones)
--- a/src/sesamehold/process/components.py
+++ b/src/sesamehold/process/components.py
@@ -111,7 +111,7 @@
             raise RuntimeError("the node made no dispatcher")
         sealer = seal.Sealer.from_keys(config.peer_keys)
         peers = _peer_client(sealer, certificates)
-        targets = target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET)
+        targets = target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET, clock)
         session = aiohttp.ClientSession()
         bridge = notice_bridge.NoticeBridge(dispatcher)
         return cls(
--- a/src/sesamehold/version/model_schema.py
+++ b/src/sesamehold/version/model_schema.py
@@ -165,4 +165,6 @@
         return {
             field.name: _plain(getattr(value, field.name)) for field in attrs.fields(type(value))
         }
+    if isinstance(value, enum.Enum):
+        return value.value
     return list(value) if isinstance(value, tuple) else value
--- a/testing/caller_host.py
+++ b/testing/caller_host.py
@@ -16,7 +16,6 @@
 from sesamehold.connection import http_listener
 from sesamehold.process import clock
 from sesamehold.process import credentials
-from sesamehold.process import local_claims
 from sesamehold.process import node as nodes
 from sesamehold.process import settings
 from sesamehold.request import calls
@@ -50,6 +49,14 @@
         return None
 
 
+@attrs.frozen
+class NoClaims:
+    """Claims of a host whose pipelines have only repeatable stages."""
+
+    def open(self, pipeline: manifest.Pipeline) -> Any:
+        assert pipeline.repeatable
+
+
 @attrs.define(eq=False)
 class Host:
     """A host that listens, and its targets."""
@@ -90,7 +97,12 @@
     for account in version["accounts"]:
         given = f"{account['name']}:secret"
         account["credential_hash"] = credentials.hash_credential("5e5a", given)
-    node.configure(manifest.from_json(version).ok)
+    # A host that is alone in its roster asks nobody before it takes traffic.
+    version["hosts"] = version["hosts"][:1]
+    assert node.fleet.offer_document(version).is_ok()
+    in_force = node.fleet.version()
+    assert in_force is not None
+    node.configure(in_force)
     return node
 
 
@@ -103,7 +115,7 @@
             clock=node.clock,
             slots=node.slots,
             targets=targets,
-            claims=local_claims.LocalClaims(),
+            claims=NoClaims(),
             ledger=node.ledger,
             metrics=node.metrics,
         )
