--- a/src/sesamehold/process/execution_claims.py
+++ b/src/sesamehold/process/execution_claims.py
@@ -122,6 +122,12 @@
         self._open[claim_id] = opened
         return opened
 
+    def grant(self, claim_id: str) -> None:
+        """Notes that the witnesses granted a claim, unless it was withdrawn meanwhile."""
+        opened = self._open.get(claim_id)
+        if opened is not None:
+            opened.granted = True
+
     def may_dispatch(self, claim_id: str, now_ms: int) -> bool:
         """Returns whether a claim may be used now; asked right before dispatch.
 
--- a/src/sesamehold/request/claiming.py
+++ b/src/sesamehold/request/claiming.py
@@ -165,7 +165,8 @@
         )
         timeout_ms = min(VOTE_TIMEOUT_MS, max(1, deadline_ms - now_ms))
         decision = await self._collect(tally, opened, timeout_ms)
-        opened.granted = isinstance(decision, claim_round.RoundGranted)
+        if isinstance(decision, claim_round.RoundGranted):
+            self._claims.grant(tally.claim_id)
         return tally, decision
 
     async def _collect(
