Specify the execution claim and lengthen the overlap window

Cause: the specification has a counterexample for an overlap window of one retention period. A host that learns of a roster later than others can grant a key under the old roster alone, and the key still lives when the others have dropped that roster.

Change: witnesses refuse claims under a superseded roster after one retention period, and claimants need its majority for three.

--- /dev/null
+++ b/specs/sesamehold_specs/check.py
@@ -0,0 +1,136 @@
+"""Checks all specifications of this package and prints the number of states that were explored.
+
+`python -m sesamehold_specs.check` checks the bounded models and that each mutant has a
+counterexample; `--full` checks the full models as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import sys
+import time
+from typing import Any
+
+import attrs
+import cyclopts
+import minicheck
+
+from sesamehold_specs import execution_claim
+
+MAX_STATES = 8_000_000
+# A counterexample of a partial search is still one.
+MAX_MUTANT_STATES = 400_000
+
+
+@attrs.frozen
+class Specification:
+    """A specification of this package.
+
+    Attributes:
+        name: Name in the output.
+        models: Returns the models that must hold, bounded or full.
+        mutants: Returns models without one rule, which must have a counterexample.
+    """
+
+    name: str
+    models: Callable[..., list[minicheck.Protocol]]
+    mutants: Callable[[], dict[str, minicheck.Protocol]]
+
+
+SPECIFICATIONS = (
+    Specification("execution-claim", execution_claim.models, execution_claim.mutants),
+)
+
+
+@attrs.frozen
+class Outcome:
+    """Result of one search.
+
+    Attributes:
+        holds: True only if the whole space was searched and every invariant held.
+        refuted: Whether some invariant has a counterexample.
+        states: Number of states that were explored.
+        exhaustive: Whether the whole space was searched.
+        trace: Steps of the shortest counterexample.
+    """
+
+    holds: bool
+    refuted: bool
+    states: int
+    exhaustive: bool
+    trace: tuple[str, ...] = ()
+
+
+def search(model: minicheck.Protocol, max_states: int) -> Outcome:
+    """Searches a model for violations of its invariants."""
+    found: dict[str, Any] = minicheck.check_safety(model, max_states=max_states)
+    verdicts = list(found["properties"].values())
+    traces = [item["counterexample"] for item in verdicts if item["holds"] is False]
+    shortest = min(traces, key=len, default=[])
+    return Outcome(
+        holds=found["exhaustive"] and all(item["holds"] is True for item in verdicts),
+        refuted=bool(traces),
+        states=found["reachable_states"],
+        exhaustive=found["exhaustive"],
+        trace=tuple(step["label"] for step in shortest[1:]),
+    )
+
+
+def refute(mutant: minicheck.Protocol, max_states: int) -> Outcome:
+    """Searches a mutant for a violation; no further state is expanded after the first one."""
+    violated: list[str] = []
+
+    def watched(name: str, holds: Callable[[Any], bool]) -> Callable[[Any], bool]:
+        def predicate(state: Any) -> bool:
+            if holds(state):
+                return True
+            violated.append(name)
+            return False
+
+        return predicate
+
+    def transitions(state: Any) -> Any:
+        return [] if violated else mutant.transitions(state)
+
+    watching = minicheck.Protocol(
+        name=mutant.name,
+        candidate=mutant.candidate,
+        fields=mutant.fields,
+        initial=mutant.initial,
+        transitions=transitions,
+        invariants={name: watched(name, holds) for name, holds in mutant.invariants.items()},
+    )
+    outcome = search(watching, max_states)
+    return attrs.evolve(outcome, exhaustive=outcome.exhaustive and not violated)
+
+
+def main(*, full: bool = False) -> int:
+    """Checks everything; returns 0 if all models hold and all mutants are refuted.
+
+    Args:
+        full: Checks the full models instead of the bounded ones.
+    """
+    passed = True
+    for specification in SPECIFICATIONS:
+        for model in specification.models(full=full):
+            started_s = time.monotonic()
+            outcome = search(model, MAX_STATES)
+            passed = passed and outcome.holds
+            verdict = "holds" if outcome.holds else f"FAILS: {' / '.join(outcome.trace)}"
+            _print(model.name, outcome, time.monotonic() - started_s, verdict)
+        for rule, mutant in specification.mutants().items():
+            started_s = time.monotonic()
+            outcome = refute(mutant, MAX_MUTANT_STATES)
+            passed = passed and outcome.refuted
+            verdict = " / ".join(outcome.trace) if outcome.refuted else "NO COUNTEREXAMPLE"
+            _print(f"without {rule}", outcome, time.monotonic() - started_s, verdict)
+    return 0 if passed else 1
+
+
+def _print(name: str, outcome: Outcome, duration_s: float, verdict: str) -> None:
+    searched = "all" if outcome.exhaustive else "first"
+    print(f"{name}: {searched} {outcome.states:,} states in {duration_s:.1f} s: {verdict}")
+
+
+if __name__ == "__main__":
+    sys.exit(cyclopts.run(main))
--- a/src/sesamehold/version/roster.py
+++ b/src/sesamehold/version/roster.py
@@ -12,6 +12,10 @@
 from sesamehold.version import rendezvous
 
 MAX_WITNESSES = 9
+# A key that was claimed under a superseded roster must have expired before claimants drop that
+# roster. Witnesses accept such claims for one retention period, the key lives for another one, and
+# hosts may learn of a roster one retention period apart.
+CLAIM_WINDOW_PERIODS = 3
 
 
 def majority(size: int) -> int:
@@ -97,7 +101,9 @@
     def accept(self, roster: Roster, retention_ms: int, now_ms: int) -> RosterWindow:
         """Returns the window after a newer version came into force."""
         kept = tuple(
-            item for item in self._predecessors if now_ms - item.superseded_ms < retention_ms
+            item
+            for item in self._predecessors
+            if now_ms - item.superseded_ms < CLAIM_WINDOW_PERIODS * retention_ms
         )
         changed = self._current is not None and self._current.content_hash != roster.content_hash
         if changed and self._current is not None:
@@ -105,21 +111,19 @@
         return RosterWindow(retention_ms, roster, kept)
 
     def rosters(self, now_ms: int) -> tuple[Roster, ...]:
-        """Returns the rosters of the overlap window, newest first."""
-        if self._current is None:
-            return ()
-        return (
-            self._current,
-            *(
-                item.roster
-                for item in self._predecessors
-                if now_ms - item.superseded_ms < self.retention_ms
-            ),
-        )
+        """Returns the rosters that a claimant needs a majority of, newest first."""
+        return self._within(CLAIM_WINDOW_PERIODS * self.retention_ms, now_ms)
 
     def knows(self, content_hash: bytes, now_ms: int) -> bool:
-        """Returns whether a roster is inside the overlap window."""
-        return any(item.content_hash == content_hash for item in self.rosters(now_ms))
+        """Returns whether a witness accepts claims whose newest roster is this one."""
+        accepted = self._within(self.retention_ms, now_ms)
+        return any(item.content_hash == content_hash for item in accepted)
+
+    def _within(self, period_ms: int, now_ms: int) -> tuple[Roster, ...]:
+        if self._current is None:
+            return ()
+        recent = (item for item in self._predecessors if now_ms - item.superseded_ms < period_ms)
+        return (self._current, *(item.roster for item in recent))
 
     def witness_sets(self, key: str, now_ms: int) -> tuple[tuple[manifest.Host, ...], ...]:
         """Returns the distinct witness sets of a key, newest first."""
--- a/testing/request/test_claims_machine.py
+++ b/testing/request/test_claims_machine.py
@@ -41,8 +41,8 @@
 class ClaimMachine(stateful.RuleBasedStateMachine):
     """Any order of submissions, messages, faults and roster changes.
 
-    The world raises `InvariantViolationError` if a key is dispatched twice, if "not run" is not true, or if two
-    answers of one key differ.
+    The world raises `InvariantViolationError` if a key is dispatched twice, if "not run" is not
+    true, or if two answers of one key differ.
     """
 
     def __init__(self) -> None:
--- /dev/null
+++ b/testing/specs/test_execution_claim_specification.py
@@ -0,0 +1,24 @@
+"""The specification of the execution claim, in its bounded form."""
+
+from __future__ import annotations
+
+import pytest
+from sesamehold_specs import check
+from sesamehold_specs import execution_claim
+
+MODELS = execution_claim.models(full=False)
+MUTANTS = execution_claim.mutants()
+
+
+@pytest.mark.parametrize("model", MODELS, ids=[model.name for model in MODELS])
+def test_bounded_model_holds_in_its_whole_space(model: object) -> None:
+    """Guards against a rule that no longer keeps a key from being dispatched twice."""
+    outcome = check.search(model, check.MAX_STATES)
+    assert outcome.holds, outcome.trace
+    assert outcome.states > 1_000
+
+
+@pytest.mark.parametrize("rule", MUTANTS)
+def test_model_without_a_rule_has_a_counterexample(rule: str) -> None:
+    """Guards against a specification that cannot notice a missing rule."""
+    assert check.refute(MUTANTS[rule], check.MAX_MUTANT_STATES).refuted
