--- /dev/null
+++ b/bench/sesamehold_bench/process/membership_sweep.py
@@ -0,0 +1,396 @@
+"""Cost and speed of membership and configuration distribution by number of hosts.
+
+The decision state of all hosts runs in one process with a simulated clock; datagrams are encoded
+and sealed as on the wire. Sockets and the kernel are not part of the figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import json
+import pathlib
+import random
+import sys
+import time
+import tracemalloc
+from typing import Annotated
+from typing import Any
+
+import attrs
+import cyclopts
+from expression import Result
+
+from sesamehold.connection import configuration_exchange
+from sesamehold.connection import fleet_service
+from sesamehold.connection import peer_client
+from sesamehold.connection import peer_server
+from sesamehold.connection import seal
+from sesamehold.process import clock as clocks
+from sesamehold.process import configuration
+from sesamehold.process import fleet_view
+from sesamehold.version import manifest
+from sesamehold.version import sections
+from sesamehold_bench.process import local_fleet
+from sesamehold_bench.process import view_network
+from sesamehold_bench.version import sized_fleet
+
+COMMAND = "python -m sesamehold_bench.process.membership_sweep"
+HOST_COUNTS = (3, 9, 30, 100, 300, 1_000)
+RESTART_COUNTS = (9, 100, 1_000)
+UDP_HEADER_BYTES = 28
+WARM_UP_MS = 8_000
+STEADY_MS = 10_000
+SPREAD_MS = 6_000
+DETECTION_LIMIT_MS = 30_000
+RESTART_MS = 10_000
+# Rates of the design size.
+CHANGES_PER_S = 6_700 / 86_400
+HOST_EVENTS_PER_S = (97 + 2_400) / 86_400
+_MEMORY_HOSTS = 2
+
+
+@attrs.frozen
+class Row:
+    """Figures for one number of hosts.
+
+    Attributes:
+        hosts: Number of hosts.
+        sent_per_s: Datagrams that one host sends in a second, by kind, with nothing happening.
+        sent_bytes_per_s: Their size without UDP and IP headers.
+        steady_bytes_per_s: Sum of the sizes.
+        steady_bytes_with_headers_per_s: Sum with 28 bytes of UDP and IP header for each.
+        cpu_percent: Processor time of one host with nothing happening, in percent of a core.
+        platform_calls_per_s: Calls of the whole fleet with nothing happening.
+        spread_ms: Time from publication until a version is in force: p50, p99, maximum.
+        change_bytes: Datagram bytes that one host sends more because of one change.
+        detection_ms: Time from a crash until hosts hold the host unreachable: first, p50, last.
+        crash_bytes: Datagram bytes that one host sends more because of one crash.
+        restart_calls: Platform calls when all hosts start at once, None if not measured.
+        restart_peak_calls_per_s: Most calls within a second of it.
+        restart_ready_ms: Time until all hosts took traffic.
+    """
+
+    hosts: int
+    sent_per_s: dict[str, float]
+    sent_bytes_per_s: dict[str, float]
+    steady_bytes_per_s: float
+    steady_bytes_with_headers_per_s: float
+    cpu_percent: float
+    platform_calls_per_s: float
+    spread_ms: tuple[int, int, int]
+    change_bytes: float
+    detection_ms: tuple[int, int, int]
+    crash_bytes: float
+    restart_calls: int | None = None
+    restart_peak_calls_per_s: int | None = None
+    restart_ready_ms: int | None = None
+
+
+@attrs.frozen
+class DesignSizeRow:
+    """Cost of one configuration at the design size.
+
+    Attributes:
+        manifest_bytes: Size of all sections.
+        section_count: Number of sections.
+        one_target_bytes: Encoded answer for a version that changes one target.
+        one_account_bytes: Encoded answer for a version that changes one account.
+        split_ms: Processor time of a reader to cut a published manifest.
+        apply_ms: Processor time of another host to put a change of one target in force.
+        memory_bytes: Memory of the fleet view of one host (tracemalloc).
+        fetch_sent_bytes: TCP payload that the asker sends for one fetch on a new connection.
+        fetch_received_bytes: TCP payload that it receives for a change of one target.
+        total_bytes_per_s: What one of 1,000 hosts sends in all at the rates of the design size.
+    """
+
+    manifest_bytes: int
+    section_count: int
+    one_target_bytes: int
+    one_account_bytes: int
+    split_ms: float
+    apply_ms: float
+    memory_bytes: int
+    fetch_sent_bytes: int
+    fetch_received_bytes: int
+    total_bytes_per_s: float | None = None
+
+
+def sweep(host_counts: tuple[int, ...], seed: int) -> list[Row]:
+    """Returns one row for each number of hosts."""
+    rows: list[Row] = []
+    for host_count in host_counts:
+        rows.append(measure(host_count, seed))
+        print(f"{host_count} hosts measured", file=sys.stderr)
+    return rows
+
+
+def measure(host_count: int, seed: int) -> Row:
+    """Measures one number of hosts."""
+    network = view_network.ViewNetwork(random.Random(seed))
+    network.start_warm(_cut(sized_fleet.build(host_count)))
+    network.run(WARM_UP_MS)
+    calls = network.platform_calls
+    sent, size, cpu_ns = _window(network, STEADY_MS)
+    seconds = host_count * STEADY_MS / 1_000
+    steady = sum(size.values()) / seconds
+    calls_per_s = (network.platform_calls - calls) / (STEADY_MS / 1_000)
+    spread, change_bytes = _measure_change(network, host_count, steady)
+    detection, crash_bytes = _measure_crash(network, host_count, steady)
+    row = Row(
+        hosts=host_count,
+        sent_per_s={kind: round(count / seconds, 3) for kind, count in sent.items()},
+        sent_bytes_per_s={kind: round(count / seconds, 1) for kind, count in size.items()},
+        steady_bytes_per_s=round(steady, 1),
+        steady_bytes_with_headers_per_s=round(
+            steady + sum(sent.values()) * UDP_HEADER_BYTES / seconds, 1
+        ),
+        cpu_percent=round(cpu_ns / 1e9 / seconds * 100, 3),
+        platform_calls_per_s=calls_per_s,
+        spread_ms=spread,
+        change_bytes=round(change_bytes, 1),
+        detection_ms=detection,
+        crash_bytes=round(crash_bytes, 1),
+    )
+    return _with_restart(row, seed) if host_count in RESTART_COUNTS else row
+
+
+def _window(
+    network: view_network.ViewNetwork, duration_ms: int
+) -> tuple[dict[str, int], dict[str, int], int]:
+    network.sent.clear()
+    network.sent_bytes.clear()
+    network.cpu_ns = 0
+    network.run(duration_ms)
+    return dict(network.sent), dict(network.sent_bytes), network.cpu_ns
+
+
+def _measure_change(
+    network: view_network.ViewNetwork, host_count: int, steady: float
+) -> tuple[tuple[int, int, int], float]:
+    published_ms = network.clock.now_ms()
+    network.publish(sized_fleet.build(host_count, 2, account_count=6))
+    _, size, _ = _window(network, SPREAD_MS)
+    size.pop("ConfigurationReply", None)
+    times = sorted(
+        host.versions[-1][0] - published_ms
+        for host in network.running()
+        if host.versions[-1][1] == 2
+    )
+    if len(times) != host_count:
+        raise RuntimeError(f"{host_count - len(times)} hosts did not get the change")
+    extra = sum(size.values()) / host_count - steady * SPREAD_MS / 1_000
+    return (_quantile(times, 0.5), _quantile(times, 0.99), times[-1]), extra
+
+
+def _measure_crash(
+    network: view_network.ViewNetwork, host_count: int, steady: float
+) -> tuple[tuple[int, int, int], float]:
+    victim = f"host-{host_count // 2}"
+    network.crash(victim)
+    crashed_ms = network.clock.now_ms()
+    network.sent_bytes.clear()
+    seen: dict[str, int] = {}
+    while len(seen) < host_count - 1 and network.clock.now_ms() < crashed_ms + DETECTION_LIMIT_MS:
+        network.run(100)
+        for host in network.running():
+            state = host.view.membership.members[victim].state
+            if host.view.host_id not in seen and state.name == "UNREACHABLE":
+                seen[host.view.host_id] = network.clock.now_ms() - crashed_ms
+    if len(seen) < host_count - 1:
+        raise RuntimeError("not every host has noticed the crash")
+    elapsed_ms = network.clock.now_ms() - crashed_ms
+    extra = sum(network.sent_bytes.values()) / host_count - steady * elapsed_ms / 1_000
+    times = sorted(seen.values())
+    return (times[0], _quantile(times, 0.5), times[-1]), extra
+
+
+def _with_restart(row: Row, seed: int) -> Row:
+    network = view_network.ViewNetwork(random.Random(seed))
+    version = sized_fleet.build(row.hosts)
+    network.published = version
+    for host in version.hosts:
+        network.start(host.id, host.peer_address)
+    peak = 0
+    ready_ms: int | None = None
+    for _ in range(RESTART_MS // 1_000):
+        calls = network.platform_calls
+        network.run(1_000)
+        peak = max(peak, network.platform_calls - calls)
+        if ready_ms is None and all(host.view.is_ready() for host in network.running()):
+            ready_ms = network.clock.now_ms()
+            break
+    return attrs.evolve(
+        row,
+        restart_calls=network.platform_calls,
+        restart_peak_calls_per_s=peak,
+        restart_ready_ms=ready_ms,
+    )
+
+
+def measure_design_size() -> DesignSizeRow:
+    """Measures one configuration of 1,000 hosts and 12,000 targets."""
+    version = sized_fleet.build(1_000, target_count=12_000, account_count=250)
+    document = json.loads(json.dumps(manifest.to_json(version)))
+    old = configuration.ConfigurationState()
+    split_ms = _cpu_ms(lambda: old.offer_document(document, 0))
+    new = configuration.ConfigurationState()
+    new.offer_document(document, 0)
+    new.offer(_cut(_with_one_target_changed(version)), 0)
+    answer = new.answer(old.query(), 0)
+    other = configuration.ConfigurationState()
+    other.offer_document(document, 0)
+    other.offer(_cut(_with_one_account_changed(version)), 0)
+    in_force = new.in_force
+    if in_force is None:
+        raise RuntimeError("the version was refused")
+    sent, received = asyncio.run(_measure_fetch(new, old.query()))
+    return DesignSizeRow(
+        manifest_bytes=sum(len(part.content) for part in in_force.sections.values()),
+        section_count=len(in_force.sections),
+        one_target_bytes=_encoded_size(answer),
+        one_account_bytes=_encoded_size(other.answer(old.query(), 0)),
+        split_ms=round(split_ms, 1),
+        apply_ms=round(_cpu_ms(lambda: old.apply(answer, 0)), 1),
+        memory_bytes=_memory_bytes(document),
+        fetch_sent_bytes=sent,
+        fetch_received_bytes=received,
+    )
+
+
+def with_total(design: DesignSizeRow, row: Row) -> DesignSizeRow:
+    """Adds up what one host sends at the rates of the design size.
+
+    On average, a host asks for each change once and answers one other host.
+    """
+    fetch = design.fetch_sent_bytes + design.fetch_received_bytes
+    total = (
+        row.steady_bytes_with_headers_per_s
+        + CHANGES_PER_S * (max(0.0, row.change_bytes) + fetch)
+        + HOST_EVENTS_PER_S * max(0.0, row.crash_bytes)
+    )
+    return attrs.evolve(design, total_bytes_per_s=round(total, 1))
+
+
+def _cut(version: manifest.Manifest) -> sections.SectionSet:
+    match sections.split(version):
+        case Result(tag="ok", ok=candidate):
+            return candidate
+        case Result(error=faults):
+            raise RuntimeError(str(faults))
+
+
+def _with_one_target_changed(version: manifest.Manifest) -> manifest.Manifest:
+    pool = version.pools[0]
+    targets = (attrs.evolve(pool.targets[0], leaving=True), *pool.targets[1:])
+    pools = (attrs.evolve(pool, targets=targets), *version.pools[1:])
+    return attrs.evolve(version, version=2, pools=pools)
+
+
+def _with_one_account_changed(version: manifest.Manifest) -> manifest.Manifest:
+    accounts = (attrs.evolve(version.accounts[0], weight=2.0), *version.accounts[1:])
+    return attrs.evolve(version, version=2, accounts=accounts)
+
+
+def _encoded_size(answer: configuration.SectionsAnswer) -> int:
+    return int(configuration_exchange.reply_to_wire(answer).ByteSize())
+
+
+def _cpu_ms(work: Callable[[], object]) -> float:
+    started_s = time.process_time()
+    work()
+    return (time.process_time() - started_s) * 1_000
+
+
+def _memory_bytes(document: Any) -> int:
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        views = [
+            fleet_view.FleetView.create(f"host-{index}", clocks.ManualClock(), random.Random(index))
+            for index in range(_MEMORY_HOSTS)
+        ]
+        for view in views:
+            view.offer_document(json.loads(json.dumps(document)))
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return (after - before) // len(views)
+
+
+async def _measure_fetch(
+    state: configuration.ConfigurationState, query: configuration.SectionsQuery
+) -> tuple[int, int]:
+    """Fetches over gRPC through a relay that counts bytes."""
+    server_address, relay_address = local_fleet.free_addresses(2)
+    sealer = seal.Sealer.from_keys(("key-of-the-sweep",))
+    absent: Any = fleet_service.Unimplemented()
+    handler = configuration_exchange.ConfigurationService(state, clocks.ManualClock())
+    server = peer_server.PeerServer.from_service(
+        peer_server.PeerService(absent, handler, absent, absent), sealer
+    )
+    await server.start("127.0.0.1", int(server_address.rpartition(":")[2]), None)
+    counts = [0, 0]
+
+    async def copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, index: int) -> None:
+        while data := await reader.read(65_536):
+            counts[index] += len(data)
+            writer.write(data)
+        writer.close()
+
+    async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        port = int(server_address.rpartition(":")[2])
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.gather(copy(reader, far_writer, 0), copy(far_reader, writer, 1))
+
+    port = int(relay_address.rpartition(":")[2])
+    listener = await asyncio.start_server(relay, "127.0.0.1", port)
+    peers = configuration_exchange.ConfigurationPeers(lambda: peer_client.PeerClient(sealer))
+    result = await peers.fetch(relay_address, query, 5_000)
+    await asyncio.sleep(0.1)
+    listener.close()
+    await server.close()
+    if result.is_error():
+        raise RuntimeError(str(result))
+    return counts[0], counts[1]
+
+
+def _quantile(ordered: list[int], fraction: float) -> int:
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+app = cyclopts.App(help=__doc__, result_action="return_value")
+
+
+@app.default
+def main(
+    *,
+    seed: int = 1,
+    output: pathlib.Path | None = None,
+    hosts: Annotated[tuple[int, ...], cyclopts.Parameter(consume_multiple=True)] = HOST_COUNTS,
+) -> int:
+    """Prints the figures as JSON, or writes them to a file.
+
+    Args:
+        seed: Seed of all random decisions.
+        output: File to write.
+        hosts: Numbers of hosts.
+    """
+    design = measure_design_size()
+    rows = sweep(hosts, seed)
+    document = {
+        "command": f"{COMMAND} --seed {seed} --hosts {' '.join(map(str, hosts))}",
+        "seed": seed,
+        "rows": [attrs.asdict(row) for row in rows],
+        "design_size": attrs.asdict(with_total(design, rows[-1])),
+    }
+    text = json.dumps(document, indent=2)
+    if output is None:
+        print(text)
+    else:
+        output.write_text(f"{text}\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/bench/sesamehold_bench/process/view_network.py
@@ -0,0 +1,333 @@
+"""Fleet views of several hosts in one process, with a clock that is moved by hand.
+
+The decision state and the encoding of datagrams are those of the daemon. Only the sockets are
+replaced: datagrams can be lost, duplicated, delayed, reordered and cut off by a partition.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import functools
+import heapq
+import random
+import time
+
+import attrs
+from expression import Result
+
+from sesamehold.connection import configuration_exchange
+from sesamehold.connection import datagram
+from sesamehold.connection import seal
+from sesamehold.process import clock as clocks
+from sesamehold.process import configuration
+from sesamehold.process import configuration_reader
+from sesamehold.process import fleet_view
+from sesamehold.process import messages
+from sesamehold.version import manifest
+from sesamehold.version import sections
+
+TICK_MS = 100
+_PLATFORM_RETRY_MS = 1_000
+_SEALER = seal.Sealer.from_keys(("key-of-the-simulated-network",))
+
+
+@attrs.frozen
+class Faults:
+    """Behaviour of the network.
+
+    Attributes:
+        loss: Fraction of datagrams and calls that are lost.
+        duplication: Fraction of datagrams that arrive twice.
+        delay_ms: Shortest and longest time that a datagram takes.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_ms: tuple[int, int] = (1, 3)
+
+
+@attrs.define(eq=False)
+class SimulatedHost:
+    """One host; a paused host keeps its state and its unread datagrams."""
+
+    view: fleet_view.FleetView
+    address: str
+    running: bool = True
+    paused: bool = False
+    inbox: list[tuple[bytes, str]] = attrs.field(factory=list)
+    fetching: bool = False
+    polling: bool = False
+    seen_version: int = 0
+    started_ms: int = 0
+    versions: list[tuple[int, int]] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class ViewNetwork:
+    """Moves time, datagrams, fetches and watches between the views."""
+
+    rng: random.Random
+    faults: Faults = attrs.field(factory=Faults)
+    clock: clocks.ManualClock = attrs.field(factory=clocks.ManualClock)
+    hosts: dict[str, SimulatedHost] = attrs.field(factory=dict)
+    published: manifest.Manifest | None = None
+    platform_down: bool = False
+    platform_calls: int = 0
+    sent: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    sent_bytes: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    cpu_ns: int = 0
+    served: Callable[[str], manifest.Manifest | None] | None = None
+    _groups: dict[str, int] = attrs.field(factory=dict)
+    _by_address: dict[str, str] = attrs.field(factory=dict)
+    _events: list[tuple[int, int, Callable[[], None]]] = attrs.field(factory=list)
+    _order: int = 0
+
+    # ---- hosts ---------------------------------------------------------------------------------
+
+    def start(self, host_id: str, address: str) -> SimulatedHost:
+        """Starts a host, or starts it again with no memory."""
+        view = fleet_view.FleetView.create(host_id, self.clock, random.Random(self.rng.random()))
+        host = SimulatedHost(view, address, started_ms=self.clock.now_ms())
+        self.hosts[host_id] = host
+        self._by_address[address] = host_id
+        self._after(self.rng.randrange(TICK_MS), lambda: self._tick(host))
+        self._after(1, lambda: self._ask_seeds(host))
+        return host
+
+    def start_warm(self, candidate: sections.SectionSet) -> None:
+        """Starts all hosts of a version that is in force already."""
+        self.published = candidate.manifest
+        for item in candidate.manifest.hosts:
+            host = self.start(item.id, item.peer_address)
+            host.view.startup.ready = True
+            self.act(host, functools.partial(self._adopt, host, candidate))
+
+    def crash(self, host_id: str) -> None:
+        """Ends a host without a word."""
+        self.hosts[host_id].running = False
+
+    def pause(self, host_id: str) -> None:
+        """Stops a host's process."""
+        self.hosts[host_id].paused = True
+
+    def resume(self, host_id: str) -> None:
+        """Lets a stopped process go on; it reads its old datagrams first."""
+        host = self.hosts[host_id]
+        host.paused = False
+        inbox, host.inbox = host.inbox, []
+        for data, source in inbox:
+            self._deliver(host, data, source)
+
+    def partition(self, *groups: set[str]) -> None:
+        """Cuts the network into groups; no group heals it."""
+        self._groups = {host_id: number for number, group in enumerate(groups) for host_id in group}
+
+    def running(self) -> list[SimulatedHost]:
+        """Returns the hosts that have not crashed."""
+        return [host for host in self.hosts.values() if host.running]
+
+    def publish(self, version: manifest.Manifest) -> None:
+        """Publishes a manifest on the platform."""
+        self.published = version
+        for host in self.running():
+            if host.polling:
+                self._after(self._delay_ms(), functools.partial(self._answer_poll, host))
+
+    def run(self, duration_ms: int) -> None:
+        """Moves the time forward."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._events)
+            self.clock.advance(max(0, at_ms - self.clock.now_ms()))
+            action()
+        self.clock.advance(end_ms - self.clock.now_ms())
+
+    # ---- events --------------------------------------------------------------------------------
+
+    def _after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._events, (self.clock.now_ms() + delay_ms, self._order, action))
+
+    def _delay_ms(self) -> int:
+        return self.rng.randint(*self.faults.delay_ms)
+
+    def _is_current(self, host: SimulatedHost) -> bool:
+        return host.running and self.hosts[host.view.host_id] is host
+
+    def _tick(self, host: SimulatedHost) -> None:
+        if not self._is_current(host):
+            return
+        if not host.paused:
+            self.act(host, host.view.tick)
+            self._poll(host)
+        self._after(TICK_MS, lambda: self._tick(host))
+
+    def act(self, host: SimulatedHost, action: Callable[[], list[messages.Outgoing]]) -> None:
+        """Runs a decision of a host and sends what it returns."""
+        started_ns = time.perf_counter_ns()
+        outgoing = action()
+        encoded = [(item, datagram.encode(item.envelope, _SEALER)) for item in outgoing]
+        self.cpu_ns += time.perf_counter_ns() - started_ns
+        for item, data in encoded:
+            self._send(host, item, data)
+        host.view.changes.clear()
+        host.view.received.clear()
+        version = host.view.configuration_state.version
+        if version and (not host.versions or host.versions[-1][1] != version):
+            host.versions.append((self.clock.now_ms(), version))
+        self._fetch(host)
+
+    def _send(self, host: SimulatedHost, item: messages.Outgoing, data: bytes) -> None:
+        kind = type(item.envelope.body).__name__
+        self.sent[kind] += 1
+        self.sent_bytes[kind] += len(data)
+        receiver_id = self._by_address.get(item.address)
+        copies = 2 if self.rng.random() < self.faults.duplication else 1
+        for _ in range(copies):
+            if receiver_id is not None and self._passes(host.view.host_id, receiver_id):
+                self._after(
+                    self._delay_ms(),
+                    lambda: self._deliver(self.hosts[receiver_id], data, host.address),
+                )
+
+    def _passes(self, sender: str, receiver: str) -> bool:
+        if self._groups.get(sender) != self._groups.get(receiver):
+            return False
+        return self.rng.random() >= self.faults.loss
+
+    def _deliver(self, host: SimulatedHost, data: bytes, source: str) -> None:
+        if not host.running:
+            return
+        if host.paused:
+            host.inbox.append((data, source))
+            return
+        self.act(host, lambda: self._receive(host, data, source))
+
+    def _receive(self, host: SimulatedHost, data: bytes, source: str) -> list[messages.Outgoing]:
+        match datagram.decode(data, _SEALER):
+            case Result(tag="ok", ok=envelope):
+                return host.view.receive(envelope, source)
+            case _:
+                raise AssertionError("a datagram of the network could not be read")
+
+    # ---- configuration -------------------------------------------------------------------------
+
+    def _ask_seeds(self, host: SimulatedHost) -> None:
+        seeds = [item.address for item in self.running() if item is not host]
+        for address in self.rng.sample(seeds, min(3, len(seeds))):
+            self._call(host, address, host.view.configuration_state.query(), again=False)
+
+    def _fetch(self, host: SimulatedHost) -> None:
+        address = host.view.fetch_source()
+        if address is None or host.fetching:
+            return
+        host.fetching = True
+        self._call(host, address, host.view.configuration_state.query(), again=True)
+
+    def _call(
+        self,
+        host: SimulatedHost,
+        address: str,
+        query: configuration.SectionsQuery,
+        *,
+        again: bool,
+    ) -> None:
+        peer_id = self._by_address.get(address)
+        own_id = host.view.host_id
+        if peer_id is None or not self._passes(own_id, peer_id):
+            self._after(configuration_reader.FETCH_TIMEOUT_MS, lambda: self._failed(host, address))
+            return
+        self._after(self._delay_ms(), lambda: self._serve(host, address, query, again=again))
+
+    def _serve(
+        self,
+        host: SimulatedHost,
+        address: str,
+        query: configuration.SectionsQuery,
+        *,
+        again: bool,
+    ) -> None:
+        peer = self.hosts[self._by_address[address]]
+        if not peer.running or peer.paused:
+            self._after(configuration_reader.FETCH_TIMEOUT_MS, lambda: self._failed(host, address))
+            return
+        started_ns = time.perf_counter_ns()
+        answer = peer.view.configuration_state.answer(query, self.clock.now_ms())
+        data = configuration_exchange.reply_to_wire(answer).SerializeToString()
+        self.cpu_ns += time.perf_counter_ns() - started_ns
+        self.sent["ConfigurationReply"] += 1
+        self.sent_bytes["ConfigurationReply"] += len(data)
+        self._after(self._delay_ms(), lambda: self._apply(host, address, answer, again=again))
+
+    def _apply(
+        self,
+        host: SimulatedHost,
+        address: str,
+        answer: configuration.SectionsAnswer,
+        *,
+        again: bool,
+    ) -> None:
+        if not self._is_current(host) or host.paused:
+            host.fetching = False
+            return
+        outgoing: list[messages.Outgoing] = []
+        started_ns = time.perf_counter_ns()
+        result = host.view.apply_answer(answer)
+        self.cpu_ns += time.perf_counter_ns() - started_ns
+        match result:
+            case Result(tag="ok", ok=accepted):
+                outgoing = accepted
+            case Result(error=configuration.AskWithSections()) if again:
+                query = host.view.configuration_state.query(all_sections=True)
+                self._call(host, address, query, again=False)
+                return
+            case _:
+                host.view.follower.on_failure(address, self.clock.now_ms())
+        host.fetching = False
+        self.act(host, lambda: outgoing)
+
+    def _failed(self, host: SimulatedHost, address: str) -> None:
+        host.fetching = False
+        host.view.follower.on_failure(address, self.clock.now_ms())
+
+    def _poll(self, host: SimulatedHost) -> None:
+        if host.polling or not host.view.should_watch():
+            return
+        host.polling = True
+        self.platform_calls += 1
+        if self.platform_down:
+            self._after(_PLATFORM_RETRY_MS, lambda: self._end_poll(host))
+            return
+        self._after(self._delay_ms(), lambda: self._answer_poll(host))
+        self._after(configuration_reader.WATCH_MS, lambda: self._end_poll(host))
+
+    def _end_poll(self, host: SimulatedHost) -> None:
+        host.polling = False
+
+    def _answer_poll(self, host: SimulatedHost) -> None:
+        value = self.served(host.view.host_id) if self.served else self.published
+        if not self._is_current(host) or host.paused or self.platform_down or value is None:
+            return
+        known = max(host.seen_version, host.view.configuration_state.version)
+        if not host.polling or value.version <= known:
+            return
+        host.polling = False
+        host.seen_version = value.version
+        self.act(host, lambda: self._offer(host, value))
+
+    def _adopt(
+        self, host: SimulatedHost, candidate: sections.SectionSet
+    ) -> list[messages.Outgoing]:
+        match host.view.offer(candidate):
+            case Result(tag="ok", ok=outgoing):
+                return outgoing
+            case _:
+                raise AssertionError("a fresh host refused its first version")
+
+    def _offer(self, host: SimulatedHost, value: manifest.Manifest) -> list[messages.Outgoing]:
+        match host.view.offer_document(manifest.to_json(value)):
+            case Result(tag="ok", ok=outgoing):
+                return outgoing
+            case _:
+                return []
--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -71,6 +71,7 @@
     _survey: dict[int, tuple[str, int]] = attrs.field(factory=dict)
     _reader_heard_ms: int | None = None
     _readers: set[str] = attrs.field(factory=set)
+    _reader_order: reader_choice.ReaderOrder = reader_choice.ReaderOrder()
     _next_slow_tick_ms: int = 0
     _pending: list[messages.Outgoing] = attrs.field(factory=list)
 
@@ -108,7 +109,8 @@
             self.count("pause.detected", 1)
             self._note_change("process was paused", paused_ms=paused_ms)
         sends = self.membership.tick(now_ms)
-        for host_id in self.startup.to_ask(list(self.membership.members)):
+        asked = [] if self.is_ready() else self.startup.to_ask(list(self.membership.members))
+        for host_id in asked:
             sequence = self.membership.next_sequence()
             self._survey[sequence] = (host_id, now_ms)
             sends.append(messages.Send(host_id, messages.Ping(sequence)))
@@ -170,6 +172,17 @@
                 self._note_refusal(refusal)
                 return Error(refusal)
 
+    def offer(
+        self, candidate: sections.SectionSet
+    ) -> Result[list[messages.Outgoing], acceptance.Refusal]:
+        """Decides about a version that is cut into sections; see `offer_document`."""
+        match self.configuration_state.offer(candidate, self.clock.now_ms()):
+            case Result(tag="ok", ok=accepted):
+                return Ok(self._put_in_force(accepted))
+            case Result(error=refusal):
+                self._note_refusal(refusal)
+                return Error(refusal)
+
     def apply_answer(
         self, answer: configuration.SectionsAnswer
     ) -> Result[
@@ -219,6 +232,8 @@
 
     def is_ready(self) -> bool:
         """Returns whether this host may take traffic."""
+        if self.startup.ready:
+            return True
         roster = set(self.membership.members) | {self.host_id}
         return self.startup.is_ready(roster, self.configuration_state.version, self.clock.now_ms())
 
@@ -323,6 +338,7 @@
         self._addresses = {host.id: host.peer_address for host in version.hosts}
         self.membership.configure(version.hosts)
         self.evidence.configure(host.id for host in version.hosts)
+        self._reader_order = reader_choice.ReaderOrder.from_manifest(version)
         self._update_readers(now_ms)
         self.count("configuration.accepted", 1)
         self._note_change("configuration in force", version=accepted.version)
@@ -347,10 +363,9 @@
             self._note_change("quorum gained" if quorum_now else "quorum lost")
 
     def _update_readers(self, now_ms: int) -> None:
-        version = self.version()
-        if version is None:
+        if self.configuration_state.in_force is None:
             return
-        readers = reader_choice.readers(version, self.membership.is_alive)
+        readers = self._reader_order.readers(self.membership.is_alive)
         if (self.host_id in readers) is not (self.host_id in self._readers):
             self._note_change("reader role changed", reader=self.host_id in readers)
         self._readers = readers
--- a/src/sesamehold/process/membership.py
+++ b/src/sesamehold/process/membership.py
@@ -25,6 +25,9 @@
 # Suspicion lasts this long times log2(N), so that a refutation has time to spread.
 SUSPICION_FACTOR_MS = 1_000
 SUSPICION_MIN_MS = 3_000
+# One in about this many probes goes to an unreachable host. More of them would slow the spread of
+# quorum evidence among the hosts that are alive.
+RECOVERY_PROBE_RATIO = 8
 # Bound on remembered relayed probes, should a host be asked to relay very often.
 MAX_RELAYS = 1_000
 
@@ -297,15 +300,23 @@
 
     def _next_target(self) -> str | None:
         if not self._ring:
-            # Hosts that are unreachable stay in the ring, so that a healed partition is noticed.
-            self._ring = [
-                host_id
-                for host_id, member in self.members.items()
-                if member.state is not _State.LEFT
-            ]
-            self._rng.shuffle(self._ring)
+            self._ring = self._new_ring()
         return self._ring.pop() if self._ring else None
 
+    def _new_ring(self) -> list[str]:
+        ring: list[str] = []
+        unreachable: list[str] = []
+        for host_id, member in self.members.items():
+            if member.state is _State.UNREACHABLE:
+                unreachable.append(host_id)
+            elif member.state is not _State.LEFT:
+                ring.append(host_id)
+        # A few probes go to unreachable hosts, so that a healed partition is noticed.
+        count = min(len(unreachable), 1 + len(ring) // RECOVERY_PROBE_RATIO)
+        ring += self._rng.sample(unreachable, count)
+        self._rng.shuffle(ring)
+        return ring
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
--- a/src/sesamehold/process/reader_choice.py
+++ b/src/sesamehold/process/reader_choice.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
+
+import attrs
 
 from sesamehold.version import manifest
 from sesamehold.version import rendezvous
@@ -11,20 +14,29 @@
 _KEY = "configuration-readers"
 
 
-def readers(version: manifest.Manifest, is_live: Callable[[str], bool]) -> set[str]:
-    """Returns the first live hosts of each region in rendezvous order.
+@attrs.frozen
+class ReaderOrder:
+    """Hosts of each region in rendezvous order.
 
-    Args:
-        version: Manifest in force.
-        is_live: Tells whether a host can be a reader.
+    The order is computed once for each configuration version: hashing 1,000 names every second took
+    more processor time than all probes.
     """
-    regions = {zone.name: zone.region for zone in version.zones}
-    members: dict[str, list[str]] = {}
-    for host in version.hosts:
-        if is_live(host.id):
+
+    _regions: tuple[tuple[str, ...], ...] = ()
+
+    @classmethod
+    def from_manifest(cls, version: manifest.Manifest) -> ReaderOrder:
+        """Returns the order for the roster of a version."""
+        regions = {zone.name: zone.region for zone in version.zones}
+        members: dict[str, list[str]] = {}
+        for host in version.hosts:
             members.setdefault(regions.get(host.zone, host.zone), []).append(host.id)
-    return {
-        host_id
-        for names in members.values()
-        for host_id in rendezvous.ranked(names, _KEY)[:READERS_PER_REGION]
-    }
+        return cls(tuple(tuple(rendezvous.ranked(names, _KEY)) for names in members.values()))
+
+    def readers(self, is_live: Callable[[str], bool]) -> set[str]:
+        """Returns the first live hosts of each region."""
+        return {
+            host_id
+            for ranked in self._regions
+            for host_id in itertools.islice(filter(is_live, ranked), READERS_PER_REGION)
+        }
--- a/src/sesamehold/process/startup.py
+++ b/src/sesamehold/process/startup.py
@@ -17,17 +17,17 @@
     _heard: set[str] = attrs.field(factory=set)
     _asked: set[str] = attrs.field(factory=set)
     _newest_version: int = 0
-    _ready: bool = False
+    ready: bool = False
 
     def note(self, host_id: str, version: int) -> None:
         """Notes the version that is in force at a peer."""
-        if not self._ready:
+        if not self.ready:
             self._heard.add(host_id)
             self._newest_version = max(self._newest_version, version)
 
     def to_ask(self, host_ids: list[str]) -> list[str]:
         """Returns the hosts to ping now."""
-        if self._ready:
+        if self.ready:
             return []
         chosen = [host_id for host_id in host_ids if host_id not in self._asked]
         chosen = chosen[:PINGS_PER_TICK]
@@ -42,11 +42,11 @@
             version_in_force: Version in force here, 0 if there is none.
             now_ms: Monotonic time.
         """
-        if not self._ready and version_in_force:
+        if not self.ready and version_in_force:
             majority = 2 * len((self._heard & host_ids) | {""}) > len(host_ids)
             current = majority and version_in_force >= self._newest_version
-            self._ready = current or now_ms - self._started_ms >= STARTUP_WAIT_MS
-            if self._ready:
+            self.ready = current or now_ms - self._started_ms >= STARTUP_WAIT_MS
+            if self.ready:
                 self._heard.clear()
                 self._asked.clear()
-        return self._ready
+        return self.ready
