--- a/src/sesamehold/version/manifest.py
+++ b/src/sesamehold/version/manifest.py
@@ -260,6 +260,9 @@
         The manifest, or all type faults with their paths. Cross-field rules are checked by
         `validation`.
     """
+    if not isinstance(data, dict):
+        # cattrs raises AttributeError here, which is no validation error.
+        return Error((ManifestFault(path="$", reason="must be an object"),))
     try:
         return Ok(_CONVERTER.structure(data, Manifest))
     except (cattrs.BaseValidationError, cattrs.errors.StructureHandlerNotFoundError) as error:
