--- a/bench/sesamehold_bench/process/view_network.py
+++ b/bench/sesamehold_bench/process/view_network.py
@@ -165,10 +165,10 @@
 
     def act(self, host: SimulatedHost, action: Callable[[], list[messages.Outgoing]]) -> None:
         """Runs a decision of a host and sends what it returns."""
-        started_ns = time.perf_counter_ns()
+        started_ns = time.thread_time_ns()
         outgoing = action()
         encoded = [(item, datagram.encode(item.envelope, _SEALER)) for item in outgoing]
-        self.cpu_ns += time.perf_counter_ns() - started_ns
+        self.cpu_ns += time.thread_time_ns() - started_ns
         for item, data in encoded:
             self._send(host, item, data)
         host.view.changes.clear()
@@ -252,10 +252,10 @@
         if not peer.running or peer.paused:
             self._after(configuration_reader.FETCH_TIMEOUT_MS, lambda: self._failed(host, address))
             return
-        started_ns = time.perf_counter_ns()
+        started_ns = time.thread_time_ns()
         answer = peer.view.configuration_state.answer(query, self.clock.now_ms())
         data = configuration_exchange.reply_to_wire(answer).SerializeToString()
-        self.cpu_ns += time.perf_counter_ns() - started_ns
+        self.cpu_ns += time.thread_time_ns() - started_ns
         self.sent["ConfigurationReply"] += 1
         self.sent_bytes["ConfigurationReply"] += len(data)
         self._after(self._delay_ms(), lambda: self._apply(host, address, answer, again=again))
@@ -272,9 +272,9 @@
             host.fetching = False
             return
         outgoing: list[messages.Outgoing] = []
-        started_ns = time.perf_counter_ns()
+        started_ns = time.thread_time_ns()
         result = host.view.apply_answer(answer)
-        self.cpu_ns += time.perf_counter_ns() - started_ns
+        self.cpu_ns += time.thread_time_ns() - started_ns
         match result:
             case Result(tag="ok", ok=accepted):
                 outgoing = accepted
--- a/src/sesamehold/connection/fleet_service.py
+++ b/src/sesamehold/connection/fleet_service.py
@@ -26,6 +26,7 @@
 from sesamehold.process import settings
 
 TICK_S = 0.1
+GAUGE_PERIOD_MS = 1_000
 MANIFEST_VALUE = "manifest"
 
 _LOG = logbook.Logger("fleet")
@@ -168,7 +169,17 @@
         self._endpoint.close()
         await self._server.close()
 
+    def publish(self, body: messages.NoticeBody) -> None:
+        """Sends an urgent notice to the other hosts."""
+        self.act(self._node.fleet.publish(body))
+
     async def _tick(self) -> None:
+        view = self._node.fleet
+        next_gauges_ms = 0
         while True:
-            self.act(self._node.fleet.tick())
+            self.act(view.tick())
+            if view.clock.now_ms() >= next_gauges_ms:
+                next_gauges_ms = view.clock.now_ms() + GAUGE_PERIOD_MS
+                for name, value in view.gauges().items():
+                    self._node.metrics.gauge(name, value)
             await asyncio.sleep(TICK_S)
--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -73,6 +73,7 @@
     _readers: set[str] = attrs.field(factory=set)
     _reader_order: reader_choice.ReaderOrder = reader_choice.ReaderOrder()
     _next_slow_tick_ms: int = 0
+    _reported_conflict: messages.Digest | None = None
     _pending: list[messages.Outgoing] = attrs.field(factory=list)
 
     @classmethod
@@ -134,7 +135,7 @@
         self.membership.on_sender(sender, envelope.sender_incarnation, now_ms)
         for update in envelope.updates:
             self.membership.apply(update, now_ms)
-        self._note_digest(envelope.digest, sender, source)
+        self._note_digest(envelope.digest, source)
         sends = self._on_body(envelope, source, now_ms)
         self._collect_member_changes()
         return self._take_pending() + self._outgoing(sends, sender, source)
@@ -241,6 +242,16 @@
         """Returns the peer address of a member."""
         return self._addresses.get(host_id)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the values for statsd."""
+        now_ms = self.clock.now_ms()
+        return {
+            "membership.alive": len(self.membership.alive_ids()) + 1,
+            "quorum.held": float(self.has_quorum(now_ms)),
+            "configuration.version": self.configuration_state.version,
+            "pause.stale": float(self.pause.is_stale()),
+        }
+
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
         now_ms = self.clock.now_ms()
@@ -282,7 +293,7 @@
                 self._merge(envelope, self._unconfirmed.pop((sender, sequence), None))
                 return []
             case messages.Notice() as notice:
-                self._on_notice(notice, envelope, source, now_ms)
+                self._on_notice(notice, source, now_ms)
                 return []
 
     def _on_ack(
@@ -293,6 +304,8 @@
         if target == envelope.sender:
             sent_ms = survey_sent_ms
         if sent_ms is not None:
+            if envelope.sender == ack.subject_host_id:
+                self.startup.note(envelope.sender, envelope.digest.version)
             self.evidence.observe(ack.subject_host_id, sent_ms)
             self._merge(envelope, sent_ms)
             self.pause.on_probe_acknowledged(sent_ms)
@@ -304,13 +317,11 @@
         self.evidence.observe(envelope.sender, sent_after_ms)
         self.evidence.merge(envelope.roster_key, envelope.evidence_ages, sent_after_ms)
 
-    def _on_notice(
-        self, notice: messages.Notice, envelope: messages.Envelope, source: str, now_ms: int
-    ) -> None:
+    def _on_notice(self, notice: messages.Notice, source: str, now_ms: int) -> None:
         body = notice.body
         if isinstance(body, messages.ConfigurationNotice):
             # Forwarded only once the version is in force here, so that it can be fetched from here.
-            self._note_digest(body.digest, envelope.sender, source)
+            self._note_digest(body.digest, source)
             return
         forward = self.notices.receive(notice)
         if forward is None:
@@ -323,10 +334,12 @@
         self.received.append(body)
         self._pending.extend(self._spread(forward))
 
-    def _note_digest(self, digest: messages.Digest, sender: str, source: str) -> None:
-        self.startup.note(sender, digest.version)
+    def _note_digest(self, digest: messages.Digest, source: str) -> None:
         if self.configuration_state.note_digest(digest):
             self.count("configuration.conflicts", 1)
+            if digest != self._reported_conflict:
+                self._reported_conflict = digest
+                self._note_change("configuration conflict", version=digest.version, peer=source)
         if not self.configuration_state.is_refused(digest):
             self.follower.note(digest, source)
 
