--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -71,7 +71,9 @@
     _survey: dict[int, tuple[str, int]] = attrs.field(factory=dict)
     _reader_heard_ms: int | None = None
     _readers: set[str] = attrs.field(factory=set)
+    _reader_order: reader_choice.ReaderOrder = reader_choice.ReaderOrder()
     _next_slow_tick_ms: int = 0
+    _reported_conflict: messages.Digest | None = None
     _pending: list[messages.Outgoing] = attrs.field(factory=list)
 
     @classmethod
@@ -108,7 +110,8 @@
             self.count("pause.detected", 1)
             self._note_change("process was paused", paused_ms=paused_ms)
         sends = self.membership.tick(now_ms)
-        for host_id in self.startup.to_ask(list(self.membership.members)):
+        asked = [] if self.is_ready() else self.startup.to_ask(list(self.membership.members))
+        for host_id in asked:
             sequence = self.membership.next_sequence()
             self._survey[sequence] = (host_id, now_ms)
             sends.append(messages.Send(host_id, messages.Ping(sequence)))
@@ -132,7 +135,7 @@
         self.membership.on_sender(sender, envelope.sender_incarnation, now_ms)
         for update in envelope.updates:
             self.membership.apply(update, now_ms)
-        self._note_digest(envelope.digest, sender, source)
+        self._note_digest(envelope.digest, source)
         sends = self._on_body(envelope, source, now_ms)
         self._collect_member_changes()
         return self._take_pending() + self._outgoing(sends, sender, source)
@@ -170,6 +173,17 @@
                 self._note_refusal(refusal)
                 return Error(refusal)
 
+    def offer(
+        self, candidate: sections.SectionSet
+    ) -> Result[list[messages.Outgoing], acceptance.Refusal]:
+        """Decides about a version that is cut into sections; see `offer_document`."""
+        match self.configuration_state.offer(candidate, self.clock.now_ms()):
+            case Result(tag="ok", ok=accepted):
+                return Ok(self._put_in_force(accepted))
+            case Result(error=refusal):
+                self._note_refusal(refusal)
+                return Error(refusal)
+
     def apply_answer(
         self, answer: configuration.SectionsAnswer
     ) -> Result[
@@ -223,6 +237,8 @@
 
     def is_ready(self) -> bool:
         """Returns whether this host may take traffic."""
+        if self.startup.ready:
+            return True
         roster = set(self.membership.members) | {self.host_id}
         return self.startup.is_ready(roster, self.configuration_state.version, self.clock.now_ms())
 
@@ -230,6 +246,16 @@
         """Returns the peer address of a member."""
         return self._addresses.get(host_id)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the values for statsd."""
+        now_ms = self.clock.now_ms()
+        return {
+            "membership.alive": len(self.membership.alive_ids()) + 1,
+            "quorum.held": float(self.has_quorum(now_ms)),
+            "configuration.version": self.configuration_state.version,
+            "pause.stale": float(self.pause.is_stale()),
+        }
+
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
         now_ms = self.clock.now_ms()
@@ -271,7 +297,7 @@
                 self._merge(envelope, self._unconfirmed.pop((sender, sequence), None))
                 return []
             case messages.Notice() as notice:
-                self._on_notice(notice, envelope, source, now_ms)
+                self._on_notice(notice, source, now_ms)
                 return []
 
     def _on_ack(
@@ -282,6 +308,8 @@
         if target == envelope.sender:
             sent_ms = survey_sent_ms
         if sent_ms is not None:
+            if envelope.sender == ack.subject_host_id:
+                self.startup.note(envelope.sender, envelope.digest.version)
             self.evidence.observe(ack.subject_host_id, sent_ms)
             self._merge(envelope, sent_ms)
             self.pause.on_probe_acknowledged(sent_ms)
@@ -293,13 +321,11 @@
         self.evidence.observe(envelope.sender, sent_after_ms)
         self.evidence.merge(envelope.roster_key, envelope.evidence_ages, sent_after_ms)
 
-    def _on_notice(
-        self, notice: messages.Notice, envelope: messages.Envelope, source: str, now_ms: int
-    ) -> None:
+    def _on_notice(self, notice: messages.Notice, source: str, now_ms: int) -> None:
         body = notice.body
         if isinstance(body, messages.ConfigurationNotice):
             # Forwarded only once the version is in force here, so that it can be fetched from here.
-            self._note_digest(body.digest, envelope.sender, source)
+            self._note_digest(body.digest, source)
             return
         forward = self.notices.receive(notice)
         if forward is None:
@@ -312,10 +338,12 @@
         self.received.append(body)
         self._pending.extend(self._spread(forward))
 
-    def _note_digest(self, digest: messages.Digest, sender: str, source: str) -> None:
-        self.startup.note(sender, digest.version)
+    def _note_digest(self, digest: messages.Digest, source: str) -> None:
         if self.configuration_state.note_digest(digest):
             self.count("configuration.conflicts", 1)
+            if digest != self._reported_conflict:
+                self._reported_conflict = digest
+                self._note_change("configuration conflict", version=digest.version, peer=source)
         if not self.configuration_state.is_refused(digest):
             self.follower.note(digest, source)
 
@@ -327,6 +355,7 @@
         self._addresses = {host.id: host.peer_address for host in version.hosts}
         self.membership.configure(version.hosts)
         self.evidence.configure(host.id for host in version.hosts)
+        self._reader_order = reader_choice.ReaderOrder.from_manifest(version)
         self._update_readers(now_ms)
         self.count("configuration.accepted", 1)
         self._note_change("configuration in force", version=accepted.version)
@@ -351,10 +380,9 @@
             self._note_change("quorum gained" if quorum_now else "quorum lost")
 
     def _update_readers(self, now_ms: int) -> None:
-        version = self.version()
-        if version is None:
+        if self.configuration_state.in_force is None:
             return
-        readers = reader_choice.readers(version, self.membership.is_alive)
+        readers = self._reader_order.readers(self.membership.is_alive)
         if (self.host_id in readers) is not (self.host_id in self._readers):
             self._note_change("reader role changed", reader=self.host_id in readers)
         self._readers = readers
