--- a/src/sesamehold/process/admission.py
+++ b/src/sesamehold/process/admission.py
@@ -23,7 +23,7 @@
     Attributes:
         request: The attempt.
         arrived_ms: Time at which it began to wait.
-        latest_start_ms: After this time it can no longer meet its deadline.
+        latest_start_ms: From this time on it can no longer meet its deadline.
         cost_ms: Expected service time, which fair shares are counted in.
         share: Account whose share it counts towards.
         order_ms: Attempts of one share go in ascending order of this time.
@@ -119,7 +119,7 @@
     def take_expired(self, now_ms: int) -> list[WaitingAttempt]:
         """Removes and returns the attempts that can no longer meet their deadlines."""
         expired: list[WaitingAttempt] = []
-        while self._expiry and (self._expiry[0][2].removed or self._expiry[0][0] < now_ms):
+        while self._expiry and (self._expiry[0][2].removed or self._expiry[0][0] <= now_ms):
             item = heapq.heappop(self._expiry)[2]
             if not item.removed:
                 self.withdraw(item.request.attempt)
--- a/src/sesamehold/process/policy_dispatcher.py
+++ b/src/sesamehold/process/policy_dispatcher.py
@@ -247,7 +247,7 @@
             return errors.CrashSuspect(
                 detail="Targets crashed while they ran this request; it is not run again."
             )
-        if self.options.early_refusal and self._latest_start_ms(request, now_ms) < now_ms:
+        if self.options.early_refusal and self._latest_start_ms(request, now_ms) <= now_ms:
             return self._unreachable(request, work, now_ms)
         return self._limit_refusal(request, now_ms)
 
--- a/src/sesamehold/process/pool_work.py
+++ b/src/sesamehold/process/pool_work.py
@@ -67,7 +67,7 @@
 
     def take_expired(self, now_ms: int) -> list[admission.WaitingAttempt]:
         """Removes and returns the attempts that can no longer meet their deadlines."""
-        late = [item for item in self.isolated.values() if item.latest_start_ms < now_ms]
+        late = [item for item in self.isolated.values() if item.latest_start_ms <= now_ms]
         for item in late:
             del self.isolated[item.request.attempt]
         return late + self.short.take_expired(now_ms) + self.long.take_expired(now_ms)
