Use a slow mean as the latency baseline of the adaptive limit

Cause: the lowest latency was the baseline. Service times with a standard deviation of 0.4 exceed twice their minimum by their content alone, so the limit kept falling without congestion. Change: the baseline is a slow mean that rises ten times more slowly while the target is congested. Late work remains high under overload.

--- a/src/sesamehold/process/concurrency.py
+++ b/src/sesamehold/process/concurrency.py
@@ -16,9 +16,11 @@
 LATENCY_SLACK_MS = 10.0
 REFUSAL_FACTOR = 0.7
 LATENCY_FACTOR = 0.9
-_SMOOTHING = 0.2
-# The baseline forgets upwards slowly, so that a lasting change of the service time is learned.
-_BASELINE_DRIFT = 0.002
+_SMOOTHING = 0.1
+# The baseline is a slow mean and not a minimum: service times that differ by their content alone
+# exceed twice their minimum. It rises more slowly while the target is congested.
+_BASELINE_SMOOTHING = 0.02
+_CONGESTED_SMOOTHING = 0.002
 # All attempts of one congested moment report it; they count as one signal.
 _COOLDOWN_MS = 100
 
@@ -30,10 +32,9 @@
 
     def add(self, latency_ms: float) -> None:
         self.smoothed_ms += _SMOOTHING * (latency_ms - self.smoothed_ms)
-        if latency_ms < self.baseline_ms:
-            self.baseline_ms = latency_ms
-        else:
-            self.baseline_ms += _BASELINE_DRIFT * (latency_ms - self.baseline_ms)
+        rises = latency_ms > self.baseline_ms
+        factor = _CONGESTED_SMOOTHING if rises and self.congested else _BASELINE_SMOOTHING
+        self.baseline_ms += factor * (latency_ms - self.baseline_ms)
 
     @property
     def congested(self) -> bool:
