Add examples, the metrics list and operations pages

Cause: operators had nothing to start from and no page that says what they see when something fails.

Change: examples/ holds a manifest and commented settings for both deployments; docs/metrics.md and docs/operations/ are added. Tests check the examples by the code of the command line, that every counted name is listed, that pages name only existing links, commands and counters, and the claims about cold targets, crashes, zones and statsd. A failed push of cost rows goes to the next peer at once; before, a dead first choice was tried again after each success, which doubled the loss to 10 s.

--- a/src/sesamehold/connection/ledger_peer.py
+++ b/src/sesamehold/connection/ledger_peer.py
@@ -17,7 +17,6 @@
 from sesamehold.process import ledger_replication
 from sesamehold.process import node as nodes
 
-PUSH_TIMEOUT_MS = 2_000
 FETCH_TIMEOUT_MS = 2_000
 MAX_PARALLEL_FETCHES = 16
 _MS_PER_S = 1_000
@@ -104,14 +103,14 @@
         version = self._node.version
         if version is None:
             return
-        push = self._replication.next_push(version.hosts, self._node.ledger)
-        if push is None:
-            return
-        message = encode(self._node.origin, push.sequence, push.rows)
-        if await self._send(push.peer.peer_address, message):
-            self._replication.acknowledge()
-            self._node.metrics.count("ledger.rows_pushed", len(push.rows))
-        else:
+        for _ in range(ledger_replication.MAX_TRIES):
+            push = self._replication.next_push(version.hosts, self._node.ledger)
+            if push is None:
+                return
+            message = encode(self._node.origin, push.sequence, push.rows)
+            if await self._send(push.peer.peer_address, message):
+                self._node.metrics.count("ledger.rows_pushed", len(push.rows))
+                return
             self._replication.fail(push)
             self._node.metrics.count("ledger.pushes_failed")
 
@@ -128,7 +127,7 @@
 
     async def _send(self, address: str, message: peer_pb2.LedgerPush) -> bool:
         result = await self._client.call(
-            address, lambda stub: stub.PushLedger, message, PUSH_TIMEOUT_MS
+            address, lambda stub: stub.PushLedger, message, ledger_replication.PUSH_TIMEOUT_MS
         )
         return bool(result.is_ok())
 
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -178,6 +178,7 @@
             now_ms = self.node.clock.now_ms()
             if now_ms - last_flush_ms >= METRICS_TICK_S * 1_000:
                 last_flush_ms = now_ms
+                self.node.metrics.gauge("requests.open", len(self.node.requests))
                 self.node.metrics.flush()
                 for certificate in self._certificates():
                     certificate.reload_if_changed()
--- a/src/sesamehold/process/ledger_replication.py
+++ b/src/sesamehold/process/ledger_replication.py
@@ -10,10 +10,14 @@
 from sesamehold.version import manifest
 from sesamehold.version import rendezvous
 
-# A killed host loses at most what it booked during one interval.
-INTERVAL_MS = 5_000
-# A restarted peer has lost its copy without noticing; a full push restores it.
-FULL_PUSH_INTERVALS = 12
+# A killed host loses at most 5 s of costs: one interval, and a second in which a peer that does not
+# answer is given up and the next one is tried.
+INTERVAL_MS = 4_000
+PUSH_TIMEOUT_MS = 400
+MAX_TRIES = 2
+# A restarted peer has lost its copy without noticing; a full push restores it. The preferred peer
+# is tried again then.
+FULL_PUSH_INTERVALS = 15
 
 
 @attrs.frozen
@@ -39,18 +43,21 @@
     zone: str
     _pending: set[ledger.CostKey] = attrs.field(factory=set)
     _peer_id: str | None = None
-    _failures: int = 0
+    _skipped: int = 0
     _sequence: int = 0
     _since_full: int = 0
 
     def next_push(self, hosts: Iterable[manifest.Host], book: ledger.Ledger) -> Push | None:
         """Returns what to push now, None if there is no peer or nothing to push."""
         self._pending.update(book.take_changed())
+        self._since_full += 1
+        if self._since_full >= FULL_PUSH_INTERVALS:
+            self._skipped = 0
+            self._peer_id = None
         peer = self.peer(hosts)
         if peer is None:
             return None
-        self._since_full += 1
-        if peer.id != self._peer_id or self._since_full >= FULL_PUSH_INTERVALS:
+        if peer.id != self._peer_id:
             self._peer_id = peer.id
             self._since_full = 0
             self._pending.update(book.totals)
@@ -64,15 +71,11 @@
     def peer(self, hosts: Iterable[manifest.Host]) -> manifest.Host | None:
         """Returns the host that gets the next push, None without other hosts."""
         peers = self._peers(hosts)
-        return peers[self._failures % len(peers)] if peers else None
-
-    def acknowledge(self) -> None:
-        """Notes that the peer holds the last push."""
-        self._failures = 0
+        return peers[self._skipped % len(peers)] if peers else None
 
     def fail(self, push: Push) -> None:
-        """Notes that the peer may not hold the push; the next push tries the next peer."""
-        self._failures += 1
+        """Notes that the peer may not hold the push; the next push goes to the next peer."""
+        self._skipped += 1
         self._pending.update(push.rows)
 
     def _peers(self, hosts: Iterable[manifest.Host]) -> list[manifest.Host]:
--- a/src/sesamehold/request/driver.py
+++ b/src/sesamehold/request/driver.py
@@ -116,6 +116,8 @@
         task.add_done_callback(self._background.discard)
 
     async def _deliver(self, final: _Final) -> None:
+        duration_ms = self.services.clock.now_ms() - self._started_ms
+        self.services.metrics.timing("requests.duration_ms", duration_ms)
         match final:
             case events.DeliverAnswer():
                 self._trace("answered")
--- a/testing/caller_host.py
+++ b/testing/caller_host.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import attrs
+from expression import Error
 from expression import Ok
 import factories
 
@@ -35,11 +36,15 @@
 
     piece_count: int = 2
     sent: int = 0
+    # Faults of the next calls to the last stage, in order.
+    faults: list[calls.CallFault] = attrs.field(factory=list)
 
     async def call(self, call: calls.TargetCall, on_pieces: calls.PieceHandler) -> Any:
         assert call.before_write()
         if call.stage.kind is not manifest.StageKind.GENERATE:
             return Ok(calls.CallSuccess({}, events.Usage(1), None))
+        if self.faults:
+            return Error(self.faults.pop(0))
         for index in range(self.piece_count):
             await on_pieces([calls.Piece(index, 1, "x" * 1_000)])
             self.sent += 1
--- a/testing/connection/test_ledger_and_explanation_peers.py
+++ b/testing/connection/test_ledger_and_explanation_peers.py
@@ -120,7 +120,7 @@
         pusher = ledger_peer.LedgerPusher.from_node(first, fleet.client)
         await fleet.servers[1].close()
         await pusher.push()
-        assert first.metrics.counters["ledger.pushes_failed"] == 1
+        assert first.metrics.counters["ledger.pushes_failed"] == 2
         handler = ledger_peer.PeerLedgerHandler(second)
         push = pusher._replication.next_push(first.version.hosts, first.ledger)  # type: ignore[union-attr]
         assert push is not None
--- a/testing/process/test_cli_on_fleet.py
+++ b/testing/process/test_cli_on_fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 from typing import Any
 
@@ -65,6 +66,11 @@
     assert len(partners) == 2
     assert abs(partners[0] - partners[1]) <= 4
     assert (await _cli("dump", *roster))[0] == 0
+    running.children["host-0"].send_signal(signal.SIGUSR1)
+    log = running.directory / "host-0.log"
+    async with asyncio.timeout(10):
+        while '"event": "state"' not in log.read_text():
+            await asyncio.sleep(0.05)
     second = ("--operator", running.addresses.hosts[1][1])
     assert (await _cli("drain", *second))[0] == 0
     assert await asyncio.wait_for(running.children["host-1"].process.wait(), 30) == 0
--- a/testing/process/test_ledger.py
+++ b/testing/process/test_ledger.py
@@ -104,7 +104,6 @@
         push = replication.next_push(VERSION.hosts, book)
         assert push is not None
         copies.store(ledger.Origin("host-0", 1), push.rows)
-        replication.acknowledge()
         _book(book, number, 10 * number)
     assert _cost(ledger.merge(copies.held())) == 15
     assert _cost(book.totals) == 35
@@ -116,7 +115,6 @@
     first = replication.next_push(VERSION.hosts, book)
     assert first is not None
     assert first.peer.zone == "zone-b"
-    replication.acknowledge()
     assert replication.next_push(VERSION.hosts, book) is None
     _book(book, 9, 2, "guest")
     second = replication.next_push(VERSION.hosts, book)
@@ -127,6 +125,10 @@
     assert third is not None
     assert third.peer != second.peer
     assert third.rows.keys() == book.totals.keys()
+    _book(book, 10, 2, "guest")
+    fourth = replication.next_push(VERSION.hosts, book)
+    assert fourth is not None
+    assert fourth.peer == third.peer
 
 
 def test_copies_are_bounded() -> None:
--- /dev/null
+++ b/testing/process/test_pages.py
@@ -0,0 +1,170 @@
+"""Guards the claims of the examples, of docs/metrics.md and of docs/operations/."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import json
+import pathlib
+import re
+import socket
+from typing import Any
+
+import attrs
+import caller_host
+import factories
+import pytest
+from sesamehold_bench.version import fleet
+
+import sesamehold
+from sesamehold.process import cli_check
+from sesamehold.process import cli_explain
+from sesamehold.process import dump
+from sesamehold.process import explanations
+from sesamehold.process import metrics
+from sesamehold.process import settings
+from sesamehold.request import calls
+from sesamehold.request import errors
+from sesamehold.request import events
+from sesamehold.version import manifest
+
+SOURCE = pathlib.Path(sesamehold.__file__).parent
+ROOT = SOURCE.parents[1]
+METHODS = {"count", "gauge", "timing"}
+
+
+def _counted_names() -> set[str]:
+    names = set()
+    for path in SOURCE.rglob("*.py"):
+        for item in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(item, ast.Call) or not isinstance(item.func, ast.Attribute):
+                continue
+            owner = ast.unparse(item.func.value).rpartition(".")[2]
+            if item.func.attr in METHODS and owner.endswith("metrics"):
+                names.add(re.sub(r"\{.*?\}", "*", ast.unparse(item.args[0]).strip("f'\"")))
+    return names
+
+
+def test_every_counted_name_is_listed() -> None:
+    """Guards against a metric that operators do not know, or look for in vain."""
+    page = (ROOT / "docs" / "metrics.md").read_text()
+    listed = {re.sub(r"<\w+>", "*", name) for name in re.findall(r"^\| `([^`]+)`", page, re.M)}
+    assert _counted_names() == listed
+
+
+@pytest.mark.parametrize("page", sorted((ROOT / "docs").rglob("*.md")), ids=lambda page: page.stem)
+def test_page_names_only_what_exists(page: pathlib.Path) -> None:
+    """Guards the pages against links, commands and counters that do not exist."""
+    text = page.read_text()
+    for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
+        assert (page.parent / link).exists(), link
+    commands = set(re.findall(r"`sesamehold (\w+)", text))
+    assert commands <= {"check", "diff", "schema", "status", "dump", "drain", "explain", "costs"}
+    if page.parent.name == "operations":
+        patterns = [name.replace("*", r"[\w-]+") for name in _counted_names()]
+        prefixes = {name.partition(".")[0] for name in _counted_names()}
+        for name in re.findall(r"`([a-z]+\.[a-z_.-]+)`", text):
+            if name.partition(".")[0] in prefixes:
+                assert any(re.fullmatch(pattern, name) for pattern in patterns), name
+
+
+@pytest.mark.parametrize(
+    "deployment", [fleet.ASSOCIATION, fleet.MONEDERO], ids=lambda deployment: deployment.name
+)
+def test_example_is_sound_and_has_the_size_of_its_deployment(deployment: fleet.Deployment) -> None:
+    """Guards the examples that operators start from."""
+    directory = ROOT / "examples" / deployment.name
+    for name in ("manifest.json", "settings.json5"):
+        report = cli_check.check(directory / name)
+        assert report.code == 0, report.lines
+    version: manifest.Manifest = cli_check.load_manifest(directory / "manifest.json").ok
+    assert [zone.name for zone in version.zones] == list(deployment.zones)
+    assert len(version.hosts) in (8, 9)
+    assert len(version.accounts) == 5
+    sizes = [len(pool.targets) for pool in version.pools]
+    assert sizes == [deployment.engine_count, *(s.target_count for s in deployment.services)]
+    assert sum(pool.reports_load for pool in version.pools[1:]) == 3
+    config: settings.Settings = settings.from_file(directory / "settings.json5").ok
+    host = version.hosts[0]
+    assert (config.host_id, config.zone) == (host.id, host.zone)
+    assert (config.peer_address, config.operator_address) == (
+        host.peer_address,
+        host.operator_address,
+    )
+
+
+def _fault(fault: events.AttemptFault, ran: errors.Ran) -> calls.CallFault:
+    return calls.CallFault(fault, ran)
+
+
+REFUSED_COLD = _fault(events.AttemptFault.REFUSED_COLD, errors.Ran.NO)
+LOST = _fault(events.AttemptFault.CONNECTION_LOST, errors.Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "counter", "lines"),
+    [
+        pytest.param(
+            [REFUSED_COLD],
+            b"200",
+            "attempts.failed.refused-cold",
+            ["attempt-failed refused-cold", "ran=no", "attempt-succeeded"],
+            id="target-cold",
+        ),
+        pytest.param(
+            [LOST] * 9,
+            b"502",
+            "requests.failed.stage-failed",
+            ["attempt-failed connection-lost", "failed stage-failed"],
+            id="crashing-request",
+        ),
+    ],
+)
+def test_fault_is_seen_as_the_pages_say(
+    faults: list[calls.CallFault], status: bytes, counter: str, lines: list[str]
+) -> None:
+    """Guards the counters and the lines of `explain` that the pages name."""
+
+    async def check(host: caller_host.Host) -> None:
+        host.targets.faults = list(faults)
+        answer = await host.exchange(caller_host.post(b"{}"))
+        assert answer.split()[1] == status
+        assert host.node.metrics.counters[counter] >= 1
+        (trace,) = host.node.explanations._traces.values()
+        text = " ".join("\n".join(cli_explain.render(explanations.to_document(trace))).split())
+        assert all(line in text for line in lines), text
+        attempts = [item for item in trace.records if item.kind == "attempt-failed"]
+        assert len(attempts) <= 6
+
+    caller_host.run(check)
+
+
+def test_zone_out_is_seen_as_the_page_says() -> None:
+    """Guards the claim that no new attempt goes to a zone that is out."""
+
+    async def check(host: caller_host.Host) -> None:
+        version = host.node.version
+        assert version is not None
+        out = attrs.evolve(version.zones[0], in_service=False)
+        host.node.configure(attrs.evolve(version, zones=(out, *version.zones[1:])))
+        await asyncio.gather(*(host.exchange(caller_host.post(b"{}")) for _ in range(5)))
+        records = [r for t in host.node.explanations._traces.values() for r in t.records]
+        targets = {r.figures["target"] for r in records if r.kind == "attempt"}
+        assert targets == {"encode-1", "retrieve-1", "language-model-1"}
+        assert dump.state(host.node)["configuration"]["zones_out"] == ["zone-a"]
+
+    caller_host.run(check)
+
+
+def test_statsd_that_is_down_changes_nothing() -> None:
+    """Guards against metrics that fail or wait when nobody receives them."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as closed:
+        closed.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+    document: dict[str, Any] = {**factories.settings_document(), "statsd_address": address}
+    sink = metrics.Metrics.from_config(settings.from_text(json.dumps(document)).ok)
+    for _ in range(3):
+        sink.count("requests.admitted")
+        sink.timing("requests.duration_ms", 1.0)
+        sink.flush()
+    assert sink.counters["requests.admitted"] == 3
