Watch slow readers with one timer for each answer

Cause: a time-out around each write to a caller takes 5.6 us, which is 6 % of a core at 11,000 pieces a second.

Change: an answer has one timer that looks when the write that waits began.

--- a/src/sesamehold/connection/answer_http.py
+++ b/src/sesamehold/connection/answer_http.py
@@ -36,6 +36,8 @@
     _idle_ms: int
     response: web.StreamResponse = attrs.field(factory=web.StreamResponse, init=False)
     _started: bool = attrs.field(default=False, init=False)
+    _writing_since_s: float | None = attrs.field(default=None, init=False)
+    _watch: asyncio.TimerHandle | None = attrs.field(default=None, init=False)
 
     async def pieces(self, pieces: Sequence[calls.Piece]) -> None:
         """Sends pieces of a stream; raises ConnectionError once the caller is gone."""
@@ -101,13 +103,32 @@
         )
         await self.response.prepare(self._request)
 
+    def close(self) -> None:
+        """Ends the watch on slow writes; called when the request has ended."""
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def _guard(self, write: Coroutine[Any, Any, None]) -> None:
+        # One timer for each answer instead of one for each write: a time-out for each piece of a
+        # stream would take 5.6 us, which is 6 % of a core at 11,000 pieces a second.
+        loop = asyncio.get_running_loop()
+        self._writing_since_s = loop.time()
+        if self._watch is None:
+            self._watch = loop.call_later(self._idle_ms / _MS_PER_S, self._check_progress, loop)
         try:
-            async with asyncio.timeout(self._idle_ms / _MS_PER_S):
-                await write
-        except TimeoutError:
-            self._metrics.count("callers.cut_slow")
-            if self._request.transport is not None:
-                # Closing would wait for the buffer that the caller does not read.
-                self._request.transport.abort()
-            raise ConnectionResetError("the caller reads too slowly") from None
+            await write
+        finally:
+            self._writing_since_s = None
+
+    def _check_progress(self, loop: asyncio.AbstractEventLoop) -> None:
+        idle_s = self._idle_ms / _MS_PER_S
+        since_s = loop.time() if self._writing_since_s is None else self._writing_since_s
+        left_s = since_s + idle_s - loop.time()
+        if left_s > 0:
+            self._watch = loop.call_later(left_s, self._check_progress, loop)
+            return
+        self._metrics.count("callers.cut_slow")
+        if self._request.transport is not None:
+            # Closing would wait for the buffer that the caller does not read. The write that waits
+            # ends with a ConnectionError.
+            self._request.transport.abort()
--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -132,6 +132,7 @@
         self.node.requests.add(admitted.request_id, _OpenRequest(admitted.account, running))
         task = asyncio.create_task(running.run())
         task.add_done_callback(lambda _: self.node.requests.remove(admitted.request_id))
+        task.add_done_callback(lambda _: sink.close())
         self._open_streams += stream
         try:
             await asyncio.shield(task)
--- a/testing/connection/test_caller_limits.py
+++ b/testing/connection/test_caller_limits.py
@@ -159,7 +159,7 @@
         async with asyncio.timeout(30):
             while host.node.metrics.counters["callers.cut_slow"] == 0 or len(host.node.requests):
                 await asyncio.sleep(0.02)
-        assert host.targets.sent < ENDLESS_PIECES / 2
+        assert host.targets.sent < ENDLESS_PIECES / 2, "pieces of 1 KB were held for the caller"
         assert host.node.metrics.counters["requests.failed.cancelled"] == 1
         assert not [name for name in host.node.metrics.counters if name.startswith("attempts.")]
         writer.close()
