Bound the settings parser and explain admission

Cause: the parser for comments takes 23 s for 1 MB, so a broken manifest given to check hung; an explanation did not show the deadline, priority and key origin that its request was admitted with.

Change: texts over 64 KB are parsed as plain JSON only; the first record of an explanation holds what admission decided. make reference writes the schemas and the reference page.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export PYTHONPATH := src:bench:testing:specs
 
-.PHONY: demo test check format lint types pytest check-models bench generate
+.PHONY: demo test check format lint types pytest check-models bench reference generate
 
 $(STAMP): requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m sesamehold_bench.process.cli experiments
 
+# Writes the JSON schemas and docs/configuration.md from the models.
+reference: $(STAMP)
+	$(BIN)/python -m sesamehold.process.reference
+
 # Needs the packages of the "generate" extra; the generated code is committed.
 generate:
 	cd src && $(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -153,6 +153,7 @@
             pipeline=admitted.pipeline.name,
             started_wall_ms=self.node.clock.wall_ms(),
         )
+        trace.records.append(_admission_record(admitted, self.node.clock.now_ms()))
         self.node.explanations.open(trace)
         self.node.metrics.count("requests.admitted")
         machine = execution.RequestExecution(admitted, self.node.retry_budget)
@@ -170,5 +171,18 @@
         self._driver.cancel()
 
 
+def _admission_record(admitted: execution.Request, now_ms: int) -> explanations.TraceRecord:
+    key = admitted.key
+    figures = {
+        "deadline_ms": admitted.deadline.remaining_ms(now_ms),
+        "priority": admitted.priority,
+        "stages": ",".join(stage.name for stage in admitted.pipeline.stages),
+        # Keys are contents of the request; only their origin is shown.
+        "key_of": None if key is None else "host" if key.host_made else "caller",
+        "first_submission": admitted.first_submission,
+    }
+    return explanations.TraceRecord(0, "admitted", "", figures)
+
+
 def _unauthenticated() -> errors.Unauthenticated:
     return errors.Unauthenticated(detail="Send `Authorization: Bearer` credentials.")
--- a/src/sesamehold/process/cli_check.py
+++ b/src/sesamehold/process/cli_check.py
@@ -41,6 +41,8 @@
     document = _parse(text)
     if isinstance(document, dict) and _MANIFEST_FIELDS & document.keys():
         kind, faults = "manifest", manifest_faults(document)
+    elif document is None:
+        kind, faults = "JSON", settings.from_text(text).swap().default_value(())
     else:
         kind, faults = "settings", settings.from_text(text).swap().default_value(())
     return _check_report(path, kind, faults)
@@ -115,8 +117,9 @@
 
 
 def _parse(text: str) -> Any:
-    # The parser for comments takes minutes for a manifest of 1 MB, so JSON is tried first.
-    for parse in (json.loads, json5.loads):
+    # JSON first: the parser for comments is far too slow for a manifest.
+    parsers = (json.loads, json5.loads) if len(text) <= settings.MAX_TEXT_LENGTH else (json.loads,)
+    for parse in parsers:
         try:
             return parse(text)
         except (ValueError, RecursionError):
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -26,6 +26,8 @@
 # The credential and the keys are the only protection of the interfaces that use them.
 MIN_SECRET_LENGTH = 16
 MAX_SECRET_LENGTH = 1_000
+# The parser for comments takes 23 s for a text of 1 MB.
+MAX_TEXT_LENGTH = 65_536
 
 _PLACE_PATTERN = re.compile(r"^<string>:(\d+)")
 
@@ -178,6 +180,9 @@
 
 def from_text(text: str) -> Result[Settings, Faults]:
     """Parses settings; returns all faults at once if there are any."""
+    if len(text) > MAX_TEXT_LENGTH:
+        reason = f"longer than {MAX_TEXT_LENGTH} characters, which no settings file needs"
+        return Error((manifest.ManifestFault("$", reason),))
     try:
         data = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
--- a/testing/process/test_settings.py
+++ b/testing/process/test_settings.py
@@ -60,13 +60,21 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["", "{", "[" * 5_000, '{"a": 1, "a": 2}', "nul", '{"operator_credential": "planted-secret'],
-    ids=["empty", "open", "deep", "duplicate", "word", "secret"],
+    [
+        "",
+        "{",
+        "[" * 5_000,
+        '{"a": 1, "a": 2}',
+        "nul",
+        " " * 70_000,
+        '{"operator_credential": "planted-secret',
+    ],
+    ids=["empty", "open", "deep", "duplicate", "word", "long", "secret"],
 )
 def test_text_that_is_not_json_is_a_fault(text: str) -> None:
     """Guards against tracebacks and against parser messages that repeat secrets."""
     (fault,) = settings.from_text(text).error
-    assert "not JSON" in fault.reason
+    assert "not JSON" in fault.reason or "longer than" in fault.reason
     assert "planted" not in fault.reason
 
 
