--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -123,6 +123,7 @@
                 self._parts.fleet.publish(notice)
             if now_ms - last_slow_ms >= METRICS_TICK_S * 1_000:
                 last_slow_ms = now_ms
+                self.node.metrics.gauge("requests.open", len(self.node.requests))
                 self.node.metrics.flush()
                 self._parts.certificates.reload_if_changed()
 
