--- a/bench/sesamehold_bench/process/cli.py
+++ b/bench/sesamehold_bench/process/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import sys
 from typing import Annotated
 from typing import Literal
@@ -17,6 +18,7 @@
 from sesamehold_bench.process import engine as engines
 from sesamehold_bench.process import load
 from sesamehold_bench.process import measured_run
+from sesamehold_bench.process import relay
 from sesamehold_bench.process import serve
 from sesamehold_bench.process import statsd_sink
 from sesamehold_bench.version import fleet
@@ -79,6 +81,30 @@
     return 1 if result.violations() else 0
 
 
+@app.command(name="relay")
+def run_relay(
+    *,
+    window_s: float = 6.0,
+    output: pathlib.Path | None = None,
+    profile: pathlib.Path | None = None,
+) -> int:
+    """Measures the processor time of one daemon for each token and each request.
+
+    Args:
+        window_s: Measured time of each run.
+        output: JSON file for the result.
+        profile: Instead of measuring, writes a profile of the daemon there and prints it.
+    """
+    if profile is not None:
+        print(relay.profile(profile, window_s))
+        return 0
+    text = json.dumps(uvloop.run(relay.run(window_s)), indent=2)
+    print(text)
+    if output is not None:
+        output.write_text(text + "\n", encoding="utf-8")
+    return 0
+
+
 @app.command
 def demo() -> int:
     """Runs the demonstration fleet on loopback."""
--- a/bench/sesamehold_bench/process/local_fleet.py
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -82,6 +82,7 @@
         addresses: Addresses of hosts and targets.
         version: Manifest that was published last.
         settings: Additional settings of all entry hosts.
+        host_launcher: Interpreter arguments before the daemon's module, such as a profiler.
         children: Started processes by name.
     """
 
@@ -92,6 +93,7 @@
     addresses: fleet.Addresses
     version: manifest.Manifest
     settings: dict[str, Any] = attrs.field(factory=dict)
+    host_launcher: tuple[str, ...] = ()
     children: dict[str, ChildProcess] = attrs.field(factory=dict)
 
     @classmethod
@@ -153,7 +155,8 @@
         }
         path = self.directory / f"host-{index}.json"
         path.write_text(f"// Settings of host-{index}.\n{json.dumps(config, indent=2)}\n")
-        await self._spawn(f"host-{index}", "sesamehold.process.daemon", "--settings", str(path))
+        module = (*self.host_launcher, "-m", "sesamehold.process.daemon")
+        await self._spawn(f"host-{index}", *module, "--settings", str(path))
 
     async def publish(self, version: manifest.Manifest) -> None:
         """Publishes a manifest on the configuration service."""
@@ -276,12 +279,12 @@
         await self._start(target_id, "service", *arguments, flag)
 
     async def _start(self, name: str, command: str, *arguments: str) -> None:
-        await self._spawn(name, "sesamehold_bench.process.cli", command, *arguments)
+        await self._spawn(name, "-m", "sesamehold_bench.process.cli", command, *arguments)
 
-    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+    async def _spawn(self, name: str, *arguments: str) -> None:
         log = (self.directory / f"{name}.log").open("ab")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", module, *arguments, stderr=log, stdout=log, env=dict(os.environ)
+            sys.executable, *arguments, stderr=log, stdout=log, env=dict(os.environ)
         )
         log.close()
         self.children[name] = ChildProcess(name, process)
