Compute witness sets of all rosters with one ranking

Cause: a window of three retention periods holds up to 75 rosters at the design size, and each claim ranked the hosts of every roster.

Change: hosts are ranked once for the union of the rosters, and hashes of rosters are computed once. Adds a process test of a fleet of one host.

--- a/src/sesamehold/version/roster.py
+++ b/src/sesamehold/version/roster.py
@@ -27,6 +27,49 @@
     return size // 2 + 1
 
 
+@attrs.frozen
+class Ranking:
+    """Hosts of several rosters in rendezvous order for one key.
+
+    Weights are computed once for all rosters of the overlap window, because a window of a large
+    fleet holds many rosters that differ in few hosts.
+    """
+
+    _zones: tuple[tuple[manifest.Host, ...], ...]
+
+    @classmethod
+    def from_hosts(cls, hosts: Iterable[manifest.Host], key: str) -> Ranking:
+        """Returns the ranking of the given hosts."""
+        by_zone: dict[str, dict[str, manifest.Host]] = {}
+        for host in hosts:
+            by_zone.setdefault(host.zone, {}).setdefault(host.id, host)
+        return cls(
+            tuple(
+                tuple(by_zone[zone][host_id] for host_id in rendezvous.ranked(by_zone[zone], key))
+                for zone in rendezvous.ranked(by_zone, key)
+            )
+        )
+
+    def witnesses(self, roster: Roster) -> tuple[manifest.Host, ...]:
+        """Returns the witnesses among the hosts of a roster, balanced over availability zones.
+
+        Zones are taken in rendezvous order, round after round, and from each zone its next host in
+        rendezvous order, so that the loss of one zone takes as few witnesses as possible.
+        """
+        queues = [(host for host in zone if roster.contains(host)) for zone in self._zones]
+        chosen: list[manifest.Host] = []
+        while queues and len(chosen) < MAX_WITNESSES:
+            taken = [(queue, next(queue, None)) for queue in queues]
+            queues = [queue for queue, host in taken if host is not None]
+            chosen += [host for _, host in taken if host is not None]
+        return tuple(chosen[:MAX_WITNESSES])
+
+
+def _hash_of(roster: Roster) -> bytes:
+    text = json.dumps([[host.id, host.zone] for host in roster.hosts])
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
 @attrs.frozen
 class Roster:
     """The host list of one manifest version, ordered by host id.
@@ -34,45 +77,42 @@
     Attributes:
         version: Manifest version in which the list was read.
         hosts: Hosts in order of id.
+        content_hash: Hash over ids and zones, on which alone the witness sets depend.
     """
 
     version: int
     hosts: tuple[manifest.Host, ...]
+    content_hash: bytes = attrs.field(init=False, default=attrs.Factory(_hash_of, takes_self=True))
+    _by_id: dict[str, manifest.Host] = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(
+            lambda roster: {host.id: host for host in roster.hosts}, takes_self=True
+        ),
+    )
 
     @classmethod
     def from_manifest(cls, version: manifest.Manifest) -> Roster:
         """Returns the host list of a manifest."""
         return cls(version.version, tuple(sorted(version.hosts, key=lambda host: host.id)))
 
-    @property
-    def content_hash(self) -> bytes:
-        """Returns a hash over ids and zones, on which alone the witness sets depend."""
-        text = json.dumps([[host.id, host.zone] for host in self.hosts])
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
     def host(self, host_id: str) -> manifest.Host | None:
         """Returns the host with this id."""
-        return next((host for host in self.hosts if host.id == host_id), None)
+        return self._by_id.get(host_id)
+
+    def contains(self, host: manifest.Host) -> bool:
+        """Returns whether a host is a member in the same zone."""
+        member = self._by_id.get(host.id)
+        return member is not None and member.zone == host.zone
 
     def without(self, host_id: str) -> Roster:
         """Returns the list that remains when a host leaves."""
-        return attrs.evolve(self, hosts=tuple(host for host in self.hosts if host.id != host_id))
+        return Roster(self.version, tuple(host for host in self.hosts if host.id != host_id))
 
     def witnesses(self, key: str) -> tuple[manifest.Host, ...]:
-        """Returns the witnesses of a key, balanced over availability zones.
-
-        Zones are taken in rendezvous order, round after round, and from each zone its next host in
-        rendezvous order, so that the loss of one zone takes as few witnesses as possible.
-        """
-        by_id = {host.id: host for host in self.hosts}
-        zones = rendezvous.ranked({host.zone for host in self.hosts}, key)
-        queues = [
-            rendezvous.ranked((host.id for host in self.hosts if host.zone == zone), key)
-            for zone in zones
-        ]
-        rounds = max((len(queue) for queue in queues), default=0)
-        order = [queue[turn] for turn in range(rounds) for queue in queues if turn < len(queue)]
-        return tuple(by_id[host_id] for host_id in order[:MAX_WITNESSES])
+        """Returns the witnesses of a key."""
+        return Ranking.from_hosts(self.hosts, key).witnesses(self)
 
 
 @attrs.frozen
@@ -92,6 +132,7 @@
     retention_ms: int
     _current: Roster | None = None
     _predecessors: tuple[_Superseded, ...] = ()
+    _hosts: tuple[manifest.Host, ...] = ()
 
     @property
     def current(self) -> Roster | None:
@@ -108,7 +149,12 @@
         changed = self._current is not None and self._current.content_hash != roster.content_hash
         if changed and self._current is not None:
             kept = (_Superseded(self._current, now_ms), *kept)
-        return RosterWindow(retention_ms, roster, kept)
+        hosts = {
+            (host.id, host.zone): host
+            for item in (roster, *(predecessor.roster for predecessor in kept))
+            for host in item.hosts
+        }
+        return RosterWindow(retention_ms, roster, kept, tuple(hosts.values()))
 
     def rosters(self, now_ms: int) -> tuple[Roster, ...]:
         """Returns the rosters that a claimant needs a majority of, newest first."""
@@ -127,7 +173,8 @@
 
     def witness_sets(self, key: str, now_ms: int) -> tuple[tuple[manifest.Host, ...], ...]:
         """Returns the distinct witness sets of a key, newest first."""
-        return distinct(roster.witnesses(key) for roster in self.rosters(now_ms))
+        ranking = Ranking.from_hosts(self._hosts, key)
+        return distinct(ranking.witnesses(item) for item in self.rosters(now_ms))
 
 
 def distinct(
--- a/testing/process/test_at_most_once_fleet.py
+++ b/testing/process/test_at_most_once_fleet.py
@@ -144,12 +144,18 @@
     assert await caller.send(1) == first
 
 
+async def _lone_host(caller: Caller) -> None:
+    first = await caller.send(0)
+    assert (first.status, await caller.send(0)) == (200, first)
+
+
 Scenario = Callable[[Caller], Awaitable[None]]
 
 
-async def _run(scenario: Scenario) -> int:
+async def _run(scenario: Scenario, host_count: int) -> int:
+    deployment = attrs.evolve(DEPLOYMENT, host_count=host_count)
     async with aiohttp.ClientSession() as session:
-        running = local_fleet.LocalFleet.from_config(DEPLOYMENT, session)
+        running = local_fleet.LocalFleet.from_config(deployment, session)
         policy = manifest.Policy(clock_skew_ms=SKEW_MS, key_retention_ms=60_000)
         running.version = attrs.evolve(running.version, policy=policy)
         try:
@@ -167,18 +173,19 @@
 
 
 @pytest.mark.parametrize(
-    "scenario",
+    ("scenario", "host_count"),
     [
-        pytest.param(_repeat_through_another_host, id="repeat-through-another-host"),
-        pytest.param(_repeat_while_running, id="repeat-while-running"),
-        pytest.param(_owner_killed_while_running, id="owner-killed-while-running"),
-        pytest.param(_owner_killed_after_its_answer, id="owner-killed-after-its-answer"),
-        pytest.param(_owner_paused_before_its_claim, id="owner-paused-before-its-claim"),
-        pytest.param(_owner_paused_while_running, id="owner-paused-while-running"),
-        pytest.param(_slow_witness, id="slow-witness"),
-        pytest.param(_planned_stop_hands_over, id="planned-stop-of-two-hosts"),
+        pytest.param(_repeat_through_another_host, 3, id="repeat-through-another-host"),
+        pytest.param(_repeat_while_running, 3, id="repeat-while-running"),
+        pytest.param(_owner_killed_while_running, 3, id="owner-killed-while-running"),
+        pytest.param(_owner_killed_after_its_answer, 3, id="owner-killed-after-its-answer"),
+        pytest.param(_owner_paused_before_its_claim, 3, id="owner-paused-before-its-claim"),
+        pytest.param(_owner_paused_while_running, 3, id="owner-paused-while-running"),
+        pytest.param(_slow_witness, 3, id="slow-witness"),
+        pytest.param(_planned_stop_hands_over, 3, id="planned-stop-of-two-hosts"),
+        pytest.param(_lone_host, 1, id="fleet-of-one-host"),
     ],
 )
-def test_key_is_executed_once(scenario: Scenario) -> None:
+def test_key_is_executed_once(scenario: Scenario, host_count: int) -> None:
     """Guards against a second execution and a changed answer when hosts fail or are slow."""
-    assert asyncio.run(_run(scenario)) == 1
+    assert asyncio.run(_run(scenario, host_count)) == 1
--- a/testing/specs/test_execution_claim_specification.py
+++ b/testing/specs/test_execution_claim_specification.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import minicheck
 import pytest
 from sesamehold_specs import check
 from sesamehold_specs import execution_claim
@@ -22,3 +23,9 @@
 def test_model_without_a_rule_has_a_counterexample(rule: str) -> None:
     """Guards against a specification that cannot notice a missing rule."""
     assert check.refute(MUTANTS[rule], check.MAX_MUTANT_STATES).refuted
+
+
+def test_every_claim_can_end() -> None:
+    """Guards against a state from which a claim can neither be used nor given up."""
+    model = execution_claim.single_roster(execution_claim.ALL_RULES, execution_claim.BOUNDED)
+    assert minicheck.check_liveness(model)["holds"] is True
