Ask only the entry host of a request for its explanation

Cause: one read of an explanation with an unknown id made a host call all others, 1,000 of them at the design size, and any account could cause it.

Change: the last 16 bits of a request id are a tag of its entry host, and only hosts with this tag are asked. Calls between hosts are typed by the one client that exists.

Conclusion: an explanation costs about one call, whatever the id.

--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -11,7 +11,7 @@
 from sesamehold.connection import answer_http
 from sesamehold.connection import caller_body
 from sesamehold.connection import explanation_peer
-from sesamehold.connection import ledger_peer
+from sesamehold.connection import peer_client
 from sesamehold.connection import problem_http
 from sesamehold.connection import submission
 from sesamehold.process import explanations
@@ -34,7 +34,7 @@
 
     node: nodes.Node
     services: driver.Services
-    peers: ledger_peer.PeerCaller | None = None
+    peers: peer_client.PeerClient | None = None
     _open_streams: int = 0
 
     def application(self) -> web.Application:
--- a/src/sesamehold/connection/explanation_peer.py
+++ b/src/sesamehold/connection/explanation_peer.py
@@ -9,13 +9,13 @@
 import attrs
 from expression import Result
 
-from sesamehold.connection import ledger_peer
+from sesamehold.connection import peer_client
 from sesamehold.connection.wire import peer_pb2
 from sesamehold.process import explanations
 from sesamehold.process import node as nodes
+from sesamehold.process import requests
 
 FETCH_TIMEOUT_MS = 2_000
-MAX_PARALLEL_FETCHES = 16
 
 
 @attrs.define(eq=False)
@@ -38,11 +38,14 @@
     """Finds explanations on this host and, if there is a client, on the others."""
 
     _node: nodes.Node
-    _client: ledger_peer.PeerCaller | None
+    _client: peer_client.PeerClient | None
 
     async def find(self, request_id: str, account: str | None) -> dict[str, Any] | None:
         """Returns the explanation of a request.
 
+        Only hosts that may have made the id are asked, so that a caller with wrong ids cannot make
+        one host call all others.
+
         Args:
             request_id: The request.
             account: Account that must have caused the request, None for any.
@@ -55,23 +58,22 @@
         return await self._find_elsewhere(self._client, request_id, account)
 
     async def _find_elsewhere(
-        self, client: ledger_peer.PeerCaller, request_id: str, account: str | None
+        self, client: peer_client.PeerClient, request_id: str, account: str | None
     ) -> dict[str, Any] | None:
         version = self._node.version
         hosts = version.hosts if version is not None else ()
-        addresses = [host.peer_address for host in hosts if host.id != self._node.config.host_id]
+        addresses = [
+            host.peer_address
+            for host in hosts
+            if host.id != self._node.config.host_id and requests.may_come_from(request_id, host.id)
+        ]
         request = peer_pb2.ExplanationRequest(request_id=request_id, account=account or "")
-        for start in range(0, len(addresses), MAX_PARALLEL_FETCHES):
-            group = addresses[start : start + MAX_PARALLEL_FETCHES]
-            replies = await asyncio.gather(*(_fetch(client, address, request) for address in group))
-            for reply in replies:
-                if reply is not None:
-                    return reply
-        return None
+        replies = await asyncio.gather(*(_fetch(client, address, request) for address in addresses))
+        return next((reply for reply in replies if reply is not None), None)
 
 
 async def _fetch(
-    client: ledger_peer.PeerCaller, address: str, request: peer_pb2.ExplanationRequest
+    client: peer_client.PeerClient, address: str, request: peer_pb2.ExplanationRequest
 ) -> dict[str, Any] | None:
     match await client.call(address, lambda stub: stub.FetchExplanation, request, FETCH_TIMEOUT_MS):
         case Result(tag="ok", ok=reply) if reply.found:
--- a/src/sesamehold/connection/ledger_peer.py
+++ b/src/sesamehold/connection/ledger_peer.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-from typing import Any
-from typing import Protocol
 
 import attrs
 from expression import Result
@@ -22,19 +18,6 @@
 _MS_PER_S = 1_000
 
 
-class PeerCaller(Protocol):
-    """Calls methods of other hosts."""
-
-    async def call(
-        self,
-        address: str,
-        method: Callable[[Any], Callable[..., Awaitable[Any]]],
-        request: Any,
-        timeout_ms: int,
-    ) -> Result[Any, peer_client.PeerUnavailable]:
-        """Calls one method of a host."""
-
-
 def encode(origin: ledger.Origin, sequence: int, rows: ledger.Rows) -> peer_pb2.LedgerPush:
     """Returns the message for rows of one process."""
     return peer_pb2.LedgerPush(
@@ -82,11 +65,11 @@
     """Pushes this host's counters to its peer."""
 
     _node: nodes.Node
-    _client: PeerCaller
+    _client: peer_client.PeerClient
     _replication: ledger_replication.LedgerReplication
 
     @classmethod
-    def from_node(cls, node: nodes.Node, client: PeerCaller) -> LedgerPusher:
+    def from_node(cls, node: nodes.Node, client: peer_client.PeerClient) -> LedgerPusher:
         """Returns a pusher for the ledger of a node."""
         config = node.config
         replication = ledger_replication.LedgerReplication(config.host_id, config.zone)
@@ -145,7 +128,7 @@
     unreachable: list[str]
 
 
-async def collect(node: nodes.Node, client: PeerCaller) -> Collected:
+async def collect(node: nodes.Node, client: peer_client.PeerClient) -> Collected:
     """Fetches the ledgers of all hosts of the roster."""
     collected = Collected(node.host_ledgers(), [])
     limit = asyncio.Semaphore(MAX_PARALLEL_FETCHES)
--- a/src/sesamehold/connection/operator_http.py
+++ b/src/sesamehold/connection/operator_http.py
@@ -11,6 +11,7 @@
 
 from sesamehold.connection import explanation_peer
 from sesamehold.connection import ledger_peer
+from sesamehold.connection import peer_client
 from sesamehold.connection import problem_http
 from sesamehold.process import cost_table
 from sesamehold.process import dump
@@ -31,7 +32,7 @@
 
     node: nodes.Node
     start_drain: Callable[[], None]
-    peers: ledger_peer.PeerCaller | None = None
+    peers: peer_client.PeerClient | None = None
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -76,7 +76,7 @@
             rng=rng,
             metrics=metrics.Metrics.from_config(config),
             slots=slots.SlotRegistry(dispatch.LeastOutstandingDispatcher(), clock),
-            requests=requests.RequestRegistry(clock, rng),
+            requests=requests.RequestRegistry(clock, rng, config.host_id),
             incarnation=clock.wall_ms(),
         )
 
--- a/src/sesamehold/process/requests.py
+++ b/src/sesamehold/process/requests.py
@@ -10,6 +10,7 @@
 
 from sesamehold.process import clock as clocks
 from sesamehold.request import ids
+from sesamehold.version import rendezvous
 
 
 class OpenRequest(Protocol):
@@ -23,18 +24,43 @@
         """Cancels the request on behalf of its caller."""
 
 
+# Random bits of a UUIDv7; the tag of the host replaces 16 of them.
+_RANDOM_BITS = 74
+_TAG_BITS = 16
+_TAG_DIGITS = 4
+
+
+def origin_tag(host_id: str) -> str:
+    """Returns the last four digits of all request ids that a host makes.
+
+    >>> len(origin_tag("host-0"))
+    4
+    """
+    return f"{rendezvous.weight('request-origin', host_id) % (1 << _TAG_BITS):04x}"
+
+
+def may_come_from(request_id: str, host_id: str) -> bool:
+    """Returns whether a host may have made a request id; two hosts rarely share a tag."""
+    return request_id[-_TAG_DIGITS:] == origin_tag(host_id)
+
+
 @attrs.define
 class RequestRegistry:
     """Open requests by id; each entry is removed when its request ends."""
 
     clock: clocks.Clock
     rng: random.Random
+    host_id: str
     draining: bool = False
     _open: dict[str, OpenRequest] = attrs.field(factory=dict)
 
     def new_id(self) -> str:
-        """Returns a request id: a UUIDv7, so that it can serve as an idempotency key."""
-        return ids.uuid7(self.clock.wall_ms(), self.rng.getrandbits(74))
+        """Returns a request id: a UUIDv7, so that it can serve as an idempotency key.
+
+        It ends with the tag of this host, so that its explanation is found without asking all.
+        """
+        made = ids.uuid7(self.clock.wall_ms(), self.rng.getrandbits(_RANDOM_BITS))
+        return made[:-_TAG_DIGITS] + origin_tag(self.host_id)
 
     def add(self, request_id: str, request: OpenRequest) -> None:
         """Adds a request that starts."""
