--- a/src/sesamehold/connection/ledger_peer.py
+++ b/src/sesamehold/connection/ledger_peer.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-from typing import Any
-from typing import Protocol
 
 import attrs
 from expression import Result
@@ -22,19 +18,6 @@
 _MS_PER_S = 1_000
 
 
-class PeerCaller(Protocol):
-    """Calls methods of other hosts."""
-
-    async def call(
-        self,
-        address: str,
-        method: Callable[[Any], Callable[..., Awaitable[Any]]],
-        request: Any,
-        timeout_ms: int,
-    ) -> Result[Any, peer_client.PeerUnavailable]:
-        """Calls one method of a host."""
-
-
 def encode(origin: ledger.Origin, sequence: int, rows: ledger.Rows) -> peer_pb2.LedgerPush:
     """Returns the message for rows of one process."""
     return peer_pb2.LedgerPush(
@@ -42,7 +25,17 @@
         incarnation=origin.incarnation,
         sequence=sequence,
         rows=[
-            peer_pb2.LedgerRow(**attrs.asdict(key), **attrs.asdict(totals))
+            peer_pb2.LedgerRow(
+                account=key.account,
+                partner=key.partner,
+                pipeline=key.pipeline,
+                stage=key.stage,
+                pool=key.pool,
+                attempts=totals.attempts,
+                units=totals.units,
+                cost=totals.cost,
+                wasted_cost=totals.wasted_cost,
+            )
             for key, totals in rows.items()
         ],
     )
@@ -82,11 +75,11 @@
     """Pushes this host's counters to its peer."""
 
     _node: nodes.Node
-    _client: PeerCaller
+    _client: peer_client.PeerClient
     _replication: ledger_replication.LedgerReplication
 
     @classmethod
-    def from_node(cls, node: nodes.Node, client: PeerCaller) -> LedgerPusher:
+    def from_node(cls, node: nodes.Node, client: peer_client.PeerClient) -> LedgerPusher:
         """Returns a pusher for the ledger of a node."""
         config = node.config
         replication = ledger_replication.LedgerReplication(config.host_id, config.zone)
@@ -103,14 +96,17 @@
         version = self._node.version
         if version is None:
             return
-        for _ in range(ledger_replication.MAX_TRIES):
+        self._replication.begin_interval(self._node.ledger)
+        failures = 0
+        while failures < ledger_replication.MAX_TRIES:
             push = self._replication.next_push(version.hosts, self._node.ledger)
             if push is None:
                 return
             message = encode(self._node.origin, push.sequence, push.rows)
             if await self._send(push.peer.peer_address, message):
                 self._node.metrics.count("ledger.rows_pushed", len(push.rows))
-                return
+                continue
+            failures += 1
             self._replication.fail(push)
             self._node.metrics.count("ledger.pushes_failed")
 
@@ -145,7 +141,7 @@
     unreachable: list[str]
 
 
-async def collect(node: nodes.Node, client: PeerCaller) -> Collected:
+async def collect(node: nodes.Node, client: peer_client.PeerClient) -> Collected:
     """Fetches the ledgers of all hosts of the roster."""
     collected = Collected(node.host_ledgers(), [])
     limit = asyncio.Semaphore(MAX_PARALLEL_FETCHES)
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -110,7 +110,7 @@
             rng=rng,
             metrics=gathered,
             slots=slots.SlotRegistry(dispatcher, clock),
-            requests=requests.RequestRegistry(clock, rng),
+            requests=requests.RequestRegistry(clock, rng, config.host_id),
             fleet=fleet,
             claims=execution_claims.HostClaims.from_config(
                 config.host_id, fleet, fleet.pause, clock.now_ms(), clock.wall_ms()
