--- a/bench/sesamehold_bench/process/cli.py
+++ b/bench/sesamehold_bench/process/cli.py
@@ -16,6 +16,8 @@
 from sesamehold_bench.connection import service_http
 from sesamehold_bench.process import demo as demos
 from sesamehold_bench.process import engine as engines
+from sesamehold_bench.process import experiment_plan
+from sesamehold_bench.process import experiments
 from sesamehold_bench.process import load
 from sesamehold_bench.process import measured_run
 from sesamehold_bench.process import relay
@@ -105,6 +107,36 @@
     return 0
 
 
+@app.command(name="experiments")
+def run_experiments(
+    *,
+    only: tuple[str, ...] = (),
+    deployments: tuple[str, ...] = tuple(experiments.DEPLOYMENTS),
+    dispatchers: tuple[str, ...] = ("policy",),
+    duration_s: float = 4.0,
+    seed: int = experiment_plan.SEED,
+    directory: pathlib.Path = pathlib.Path("docs/measurements"),
+) -> int:
+    """Runs the experiments with real processes; writes JSON and plots.
+
+    Args:
+        only: Names of experiments; all without it.
+        deployments: Names of deployments.
+        dispatchers: Values of the settings field `dispatcher`.
+        duration_s: Duration of the load of each experiment.
+        seed: Seed of the load.
+        directory: Where the results go.
+    """
+    selection = experiments.Selection(only, deployments, dispatchers, duration_s, seed)
+    for row in experiments.run(selection, directory):
+        print(
+            f"{row['experiment']:<24} {row['deployment']:<12} {row['dispatcher']:<18} "
+            f"attained {row['attainment']:.3f}  goodput {row['goodput_per_s']:.1f}/s  "
+            f"wasted {row['wasted_cost']}/{row['cost']}  violations {len(row['violations'])}"
+        )
+    return 0
+
+
 @app.command
 def demo() -> int:
     """Runs the demonstration fleet on loopback."""
--- a/bench/sesamehold_bench/process/load.py
+++ b/bench/sesamehold_bench/process/load.py
@@ -146,6 +146,19 @@
         tasks = []
         for item in requests:
             await asyncio.sleep(start_s + item.at_s - asyncio.get_running_loop().time())
-            address = caller_addresses[item.host_index]
-            tasks.append(asyncio.create_task(load_request.send(session, address, item)))
+            tasks.append(asyncio.create_task(_balanced(session, caller_addresses, item)))
         return list(await asyncio.gather(*tasks))
+
+
+async def _balanced(
+    session: aiohttp.ClientSession,
+    caller_addresses: Sequence[str],
+    item: load_request.PlannedRequest,
+) -> load_request.Outcome:
+    """Sends a request as a balancer does: a host that takes nothing is passed over."""
+    for offset in range(len(caller_addresses)):
+        index = (item.host_index + offset) % len(caller_addresses)
+        outcome = await load_request.send(session, caller_addresses[index], item)
+        if not outcome.turned_away:
+            break
+    return outcome
--- a/bench/sesamehold_bench/process/measured_run.py
+++ b/bench/sesamehold_bench/process/measured_run.py
@@ -34,7 +34,8 @@
         outcomes: One for each request.
         duration_s: Planned duration of the arrivals.
         targets: Counters of the targets that answered.
-        targets_complete: Whether all targets answered.
+        targets_complete: Whether all targets answered and none lost its counters.
+        replaced_targets: Number of targets that ended and were started again.
         hosts: Counters of the hosts that answered.
     """
 
@@ -42,6 +43,7 @@
     duration_s: float
     targets: load_report.TargetCounts
     targets_complete: bool
+    replaced_targets: int
     hosts: fleet_counts.HostCounts
 
     def violations(self) -> list[str]:
@@ -62,6 +64,7 @@
             "wasted_cost": self.hosts.wasted_cost,
             "units_booked": dict(sorted(self.hosts.units.items())),
             "units_counted_by_targets": dict(sorted(self.targets.units.items())),
+            "replaced_targets": self.replaced_targets,
             "counters_complete": self.targets_complete and self.hosts.complete,
             "violations": self.violations(),
         }
@@ -75,13 +78,18 @@
     """Sends the load while the disturbance acts on the fleet; waits for both."""
     requests = load.plan(config, running.version, time.time_ns() // 1_000_000)
     addresses = [caller for caller, _, _ in running.addresses.hosts]
-    outcomes, _ = await asyncio.gather(load.run(requests, addresses), disturb(running))
+    replacement = asyncio.create_task(running.replace_ended_targets())
+    try:
+        outcomes, _ = await asyncio.gather(load.run(requests, addresses), disturb(running))
+    finally:
+        replacement.cancel()
     targets, complete = await fleet_counts.read_targets(running)
     return RunResult(
         outcomes=outcomes,
         duration_s=sum(phase.duration_s for phase in config.phases),
         targets=targets,
-        targets_complete=complete,
+        targets_complete=complete and not running.replaced_targets,
+        replaced_targets=running.replaced_targets,
         hosts=await fleet_counts.read_hosts(running),
     )
 
--- a/bench/sesamehold_bench/request/load_request.py
+++ b/bench/sesamehold_bench/request/load_request.py
@@ -18,6 +18,7 @@
 
 ANSWERED = "answered"
 CONNECTION_LOST = "connection-lost"
+NO_CONNECTION = "no-connection"
 NO_END = "no-end"
 # Beyond its deadline a request gets this long to be answered or refused.
 GRACE_S = 20.0
@@ -75,7 +76,7 @@
 
     Attributes:
         plan: The request.
-        kind: `answered`, the kind of the refusal, `connection-lost` or `no-end`.
+        kind: `answered`, the kind of the refusal, or one of the constants above.
         ran: Statement of a refusal, None for an answer.
         request_id: Id that the host gave, empty if unknown.
         latency_ms: Until the end of the answer.
@@ -99,6 +100,11 @@
         on_time = self.latency_ms <= self.plan.deadline_ms
         return self.kind == ANSWERED and not self.faults and on_time
 
+    @property
+    def turned_away(self) -> bool:
+        """Returns whether a balancer sends the request to another host."""
+        return self.kind in {NO_CONNECTION, "draining"}
+
 
 @attrs.define
 class _Received:
@@ -144,6 +150,8 @@
             await _read(response, received)
     except TimeoutError:
         failed = NO_END
+    except aiohttp.ClientConnectorError:
+        failed = NO_CONNECTION
     except (aiohttp.ClientError, ConnectionError):
         pass
     return _outcome(plan, received, failed)
