--- a/bench/sesamehold_bench/process/cli.py
+++ b/bench/sesamehold_bench/process/cli.py
@@ -23,6 +23,7 @@
 from sesamehold_bench.process import relay
 from sesamehold_bench.process import serve
 from sesamehold_bench.process import statsd_sink
+from sesamehold_bench.process import sweep
 from sesamehold_bench.version import fleet
 
 app = cyclopts.App(name="sesamehold-bench", help=__doc__, result_action="return_value")
@@ -137,6 +138,21 @@
     return 0
 
 
+@app.command(name="sweep")
+def run_sweeps(*, window_s: float = 1.0, output: pathlib.Path | None = None) -> int:
+    """Measures how costs grow with one variable at a time.
+
+    Args:
+        window_s: Time of each measured window.
+        output: JSON file for the result.
+    """
+    text = json.dumps(uvloop.run(sweep.run(window_s)), indent=2)
+    print(text)
+    if output is not None:
+        output.write_text(text + "\n", encoding="utf-8")
+    return 0
+
+
 @app.command
 def demo() -> int:
     """Runs the demonstration fleet on loopback."""
--- a/bench/sesamehold_bench/process/serve.py
+++ b/bench/sesamehold_bench/process/serve.py
@@ -11,10 +11,15 @@
 
 from sesamehold.process import settings
 
+# Calls on silent connections never end, so a stand-in does not wait for them for long.
+SHUTDOWN_S = 1.0
+
 
 async def _serve(application: web.Application, address_text: str) -> None:
     address = settings.Address.parse(address_text)
-    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        application, access_log=None, handler_cancellation=True, shutdown_timeout=SHUTDOWN_S
+    )
     await runner.setup()
     await web.TCPSite(runner, address.ip, address.port).start()
     stopped = asyncio.Event()
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -127,6 +127,8 @@
             since_ms=self._clock.now_ms(),
         )
         while exchange.verdict is liveness.Verdict.WAIT:
+            # A caller that reads slowly says nothing about the target.
+            exchange.progress += exchange.delivering
             step = state.observe(exchange.progress, self._clock.now_ms())
             if step.verdict is liveness.Verdict.PROBE:
                 worked = await self._sessions.probe(call.target.address)
@@ -160,6 +162,7 @@
         call: The call.
         written: Whether bytes of the call may have reached the target.
         progress: Number of chunks received.
+        delivering: Whether the caller takes pieces now, so that nothing is read from the target.
         received_tokens: Tokens received.
         load: Latest load report.
         verdict: Why the exchange was given up, `WAIT` if it was not.
@@ -168,6 +171,7 @@
     call: calls.TargetCall
     written: bool = False
     progress: int = 0
+    delivering: bool = False
     received_tokens: int = 0
     load: dispatch.LoadReport | None = None
     verdict: liveness.Verdict = liveness.Verdict.WAIT
@@ -280,7 +284,12 @@
         exchange.progress += 1
         pieces = reader.read(parser.feed(chunk))
         exchange.received_tokens = reader.received_tokens
-        if pieces and not await on_pieces(pieces):
+        if not pieces:
+            continue
+        exchange.delivering = True
+        whole = await on_pieces(pieces)
+        exchange.delivering = False
+        if not whole:
             return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
     if not reader.done or not reader.finished:
         return Error(exchange.fault(events.AttemptFault.CONNECTION_LOST))
