Bound the cost of evidence when many hosts start at once

Cause: at a start of 300 hosts within 100 ms, each host encoded its evidence about 150 times and merged as many copies; with the sealing, that was most of the processor time.

Change: encoded ages are kept for 40 ms, computed for the end of that time, and a starting host merges at most one copy in 40 ms.

--- a/bench/sesamehold_bench/process/membership_sweep.py
+++ b/bench/sesamehold_bench/process/membership_sweep.py
@@ -43,7 +43,8 @@
 STEADY_MS = 10_000
 SPREAD_MS = 6_000
 DETECTION_LIMIT_MS = 30_000
-RESTART_MS = 10_000
+RESTART_LIMIT_MS = 10_000
+RESTART_STEP_MS = 250
 # Rates of the design size.
 CHANGES_PER_S = 6_700 / 86_400
 HOST_EVENTS_PER_S = (97 + 2_400) / 86_400
@@ -66,9 +67,6 @@
         change_bytes: Datagram bytes that one host sends more because of one change.
         detection_ms: Time from a crash until hosts hold the host unreachable: first, p50, last.
         crash_bytes: Datagram bytes that one host sends more because of one crash.
-        restart_calls: Platform calls when all hosts start at once, None if not measured.
-        restart_peak_calls_per_s: Most calls within a second of it.
-        restart_ready_ms: Time until all hosts took traffic.
     """
 
     hosts: int
@@ -82,9 +80,27 @@
     change_bytes: float
     detection_ms: tuple[int, int, int]
     crash_bytes: float
-    restart_calls: int | None = None
-    restart_peak_calls_per_s: int | None = None
-    restart_ready_ms: int | None = None
+
+
+@attrs.frozen
+class RestartRow:
+    """Figures for a start of all hosts within 100 ms, without peers that know a version.
+
+    Attributes:
+        hosts: Number of hosts.
+        platform_calls: Calls until all hosts took traffic.
+        peak_calls_per_s: Most calls within one second.
+        ready_ms: Time until all hosts took traffic, in steps of 250 ms.
+        sent_bytes_per_host: Datagrams and configuration replies until then.
+        cpu_ms_per_host: Processor time until then.
+    """
+
+    hosts: int
+    platform_calls: int
+    peak_calls_per_s: int
+    ready_ms: int | None
+    sent_bytes_per_host: int
+    cpu_ms_per_host: float
 
 
 @attrs.frozen
@@ -137,7 +153,7 @@
     calls_per_s = (network.platform_calls - calls) / (STEADY_MS / 1_000)
     spread, change_bytes = _measure_change(network, host_count, steady)
     detection, crash_bytes = _measure_crash(network, host_count, steady)
-    row = Row(
+    return Row(
         hosts=host_count,
         sent_per_s={kind: round(count / seconds, 3) for kind, count in sent.items()},
         sent_bytes_per_s={kind: round(count / seconds, 1) for kind, count in size.items()},
@@ -152,7 +168,6 @@
         detection_ms=detection,
         crash_bytes=round(crash_bytes, 1),
     )
-    return _with_restart(row, seed) if host_count in RESTART_COUNTS else row
 
 
 def _window(
@@ -205,26 +220,30 @@
     return (times[0], _quantile(times, 0.5), times[-1]), extra
 
 
-def _with_restart(row: Row, seed: int) -> Row:
+def measure_restart(host_count: int, seed: int) -> RestartRow:
+    """Measures the start of all hosts at once."""
     network = view_network.ViewNetwork(random.Random(seed))
-    version = sized_fleet.build(row.hosts)
+    version = sized_fleet.build(host_count)
     network.published = version
     for host in version.hosts:
         network.start(host.id, host.peer_address)
-    peak = 0
+    calls: list[int] = [0]
     ready_ms: int | None = None
-    for _ in range(RESTART_MS // 1_000):
-        calls = network.platform_calls
-        network.run(1_000)
-        peak = max(peak, network.platform_calls - calls)
-        if ready_ms is None and all(host.view.is_ready() for host in network.running()):
+    while ready_ms is None and network.clock.now_ms() < RESTART_LIMIT_MS:
+        network.run(RESTART_STEP_MS)
+        calls.append(network.platform_calls)
+        if all(host.view.is_ready() for host in network.running()):
             ready_ms = network.clock.now_ms()
-            break
-    return attrs.evolve(
-        row,
-        restart_calls=network.platform_calls,
-        restart_peak_calls_per_s=peak,
-        restart_ready_ms=ready_ms,
+    steps = 1_000 // RESTART_STEP_MS
+    return RestartRow(
+        hosts=host_count,
+        platform_calls=calls[-1],
+        peak_calls_per_s=max(
+            later - calls[max(0, index - steps)] for index, later in enumerate(calls)
+        ),
+        ready_ms=ready_ms,
+        sent_bytes_per_host=sum(network.sent_bytes.values()) // host_count,
+        cpu_ms_per_host=round(network.cpu_ns / 1e6 / host_count, 1),
     )
 
 
@@ -368,6 +387,9 @@
     seed: int = 1,
     output: pathlib.Path | None = None,
     hosts: Annotated[tuple[int, ...], cyclopts.Parameter(consume_multiple=True)] = HOST_COUNTS,
+    restarts: Annotated[
+        tuple[int, ...], cyclopts.Parameter(consume_multiple=True)
+    ] = RESTART_COUNTS,
 ) -> int:
     """Prints the figures as JSON, or writes them to a file.
 
@@ -375,13 +397,16 @@
         seed: Seed of all random decisions.
         output: File to write.
         hosts: Numbers of hosts.
+        restarts: Numbers of hosts of which all start at once.
     """
     design = measure_design_size()
     rows = sweep(hosts, seed)
     document = {
-        "command": f"{COMMAND} --seed {seed} --hosts {' '.join(map(str, hosts))}",
+        "command": f"{COMMAND} --seed {seed} --hosts {' '.join(map(str, hosts))}"
+        f" --restarts {' '.join(map(str, restarts))}",
         "seed": seed,
         "rows": [attrs.asdict(row) for row in rows],
+        "restarts": [attrs.asdict(measure_restart(count, seed)) for count in restarts],
         "design_size": attrs.asdict(with_total(design, rows[-1])),
     }
     text = json.dumps(document, indent=2)
--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -73,6 +73,7 @@
     _readers: set[str] = attrs.field(factory=set)
     _reader_order: reader_choice.ReaderOrder = reader_choice.ReaderOrder()
     _next_slow_tick_ms: int = 0
+    _next_survey_merge_ms: int = 0
     _reported_conflict: messages.Digest | None = None
     _pending: list[messages.Outgoing] = attrs.field(factory=list)
 
@@ -307,7 +308,10 @@
             if envelope.sender == ack.subject_host_id:
                 self.startup.note(envelope.sender, envelope.digest.version)
             self.evidence.observe(ack.subject_host_id, sent_ms)
-            self._merge(envelope, sent_ms)
+            # Several hundred answers arrive at start; the ages of a few of them are enough.
+            if target is None or now_ms >= self._next_survey_merge_ms:
+                self._next_survey_merge_ms = now_ms + quorum.CACHE_MS
+                self._merge(envelope, sent_ms)
             self.pause.on_probe_acknowledged(sent_ms)
         return self.membership.on_ack(envelope.sender, ack, now_ms)
 
--- a/src/sesamehold/process/quorum.py
+++ b/src/sesamehold/process/quorum.py
@@ -21,6 +21,9 @@
 # Ages are rounded up at each hop, so the unit has to be small against the detection bound.
 AGE_UNIT_MS = 600
 _UNKNOWN_AGE = 15
+# Encoded ages are sent again for this long, as when many hosts start at once and ask for them. They
+# are computed for the end of this time, so that no age is too young.
+CACHE_MS = 40
 # The oldest evidence that counts. Lost quorum is noticed this long after a partition at the latest;
 # the design allows 10 s.
 EVIDENCE_MS = (_UNKNOWN_AGE - 1) * AGE_UNIT_MS
@@ -45,6 +48,8 @@
     _ids: list[str] = attrs.field(factory=list)
     _index: dict[str, int] = attrs.field(factory=dict)
     _seen_ms: list[int] = attrs.field(factory=list)
+    _cached: bytes = b""
+    _cached_until_ms: int = _NEVER_MS
 
     def configure(self, host_ids: Iterable[str]) -> None:
         """Takes over a roster; evidence of members that stay is kept."""
@@ -53,6 +58,7 @@
         self._index = {host_id: index for index, host_id in enumerate(self._ids)}
         self._seen_ms = [known.get(host_id, _NEVER_MS) for host_id in self._ids]
         digest = hashlib.blake2b("\0".join(self._ids).encode(), digest_size=4).digest()
+        self._cached_until_ms = _NEVER_MS
         self.roster_key = int.from_bytes(digest, "big")
 
     def observe(self, host_id: str, ran_ms: int) -> None:
@@ -68,12 +74,18 @@
 
     def ages(self, now_ms: int) -> bytes:
         """Returns the ages to send, two members in a byte, each rounded up to `AGE_UNIT_MS`."""
+        if now_ms <= self._cached_until_ms:
+            return self._cached
         self.observe(self.host_id, now_ms)
-        late_ms = now_ms + AGE_UNIT_MS - 1
+        self._cached_until_ms = now_ms + CACHE_MS
+        late_ms = self._cached_until_ms + AGE_UNIT_MS - 1
         units = [min((late_ms - seen_ms) // AGE_UNIT_MS, 15) for seen_ms in self._seen_ms]
         if len(units) % 2:
             units.append(_UNKNOWN_AGE)
-        return bytes(low | high << 4 for low, high in zip(units[::2], units[1::2], strict=True))
+        self._cached = bytes(
+            low | high << 4 for low, high in zip(units[::2], units[1::2], strict=True)
+        )
+        return self._cached
 
     def merge(self, roster_key: int, ages: bytes, sent_after_ms: int) -> None:
         """Takes over ages from a datagram that was sent after a time of this host's clock."""
