--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -68,6 +68,7 @@
     has_quorum_now: bool = False
     _addresses: dict[str, str] = attrs.field(factory=dict)
     _unconfirmed: dict[tuple[str, int], int] = attrs.field(factory=dict)
+    _last_pings: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _survey: dict[int, tuple[str, int]] = attrs.field(factory=dict)
     _reader_heard_ms: int | None = None
     _readers: set[str] = attrs.field(factory=set)
@@ -283,8 +284,7 @@
         sender = envelope.sender
         match envelope.body:
             case messages.Ping() as ping:
-                if len(self._unconfirmed) < _MAX_UNCONFIRMED:
-                    self._unconfirmed[sender, ping.sequence] = now_ms
+                self._expect_confirm(envelope, ping, now_ms)
                 return self.membership.on_ping(sender, ping)
             case messages.PingRequest() as request:
                 return self.membership.on_ping_request(sender, request, now_ms)
@@ -297,6 +297,19 @@
                 self._on_notice(notice, source, now_ms)
                 return []
 
+    def _expect_confirm(
+        self, envelope: messages.Envelope, ping: messages.Ping, now_ms: int
+    ) -> None:
+        # A probe that arrives again, late, must not let its old confirmation count as a new one.
+        order = (envelope.sender_incarnation, ping.sequence)
+        if envelope.sender not in self._addresses or order <= self._last_pings.get(
+            envelope.sender, (0, 0)
+        ):
+            return
+        self._last_pings[envelope.sender] = order
+        if len(self._unconfirmed) < _MAX_UNCONFIRMED:
+            self._unconfirmed[envelope.sender, ping.sequence] = now_ms
+
     def _on_ack(
         self, envelope: messages.Envelope, ack: messages.Ack, now_ms: int
     ) -> list[messages.Send]:
@@ -353,6 +366,11 @@
             return []
         now_ms = self.clock.now_ms()
         self._addresses = {host.id: host.peer_address for host in version.hosts}
+        self._last_pings = {
+            host_id: order
+            for host_id, order in self._last_pings.items()
+            if host_id in self._addresses
+        }
         self.membership.configure(version.hosts)
         self.evidence.configure(host.id for host in version.hosts)
         self._reader_order = reader_choice.ReaderOrder.from_manifest(version)
--- a/src/sesamehold/process/membership.py
+++ b/src/sesamehold/process/membership.py
@@ -25,9 +25,12 @@
 # Suspicion lasts this long times log2(N), so that a refutation has time to spread.
 SUSPICION_FACTOR_MS = 1_000
 SUSPICION_MIN_MS = 3_000
-# One in about this many probes goes to an unreachable host. More of them would slow the spread of
-# quorum evidence among the hosts that are alive.
-RECOVERY_PROBE_RATIO = 8
+# Probes of hosts that do not answer slow the spread of quorum evidence among the others. Some are
+# needed, so that a healed partition is noticed.
+_SKIPPED_PROBES = {
+    messages.MemberState.SUSPECT: 0.5,
+    messages.MemberState.UNREACHABLE: 0.875,
+}
 # Bound on remembered relayed probes, should a host be asked to relay very often.
 MAX_RELAYS = 1_000
 
@@ -84,9 +87,13 @@
     _ring: list[str] = attrs.field(factory=list)
     _probe: _Probe | None = None
     _relays: dict[int, _Relay] = attrs.field(factory=dict)
-    _sequence: int = 0
+    _sequence: int = attrs.field(init=False)
     _next_probe_ms: int | None = None
 
+    def __attrs_post_init__(self) -> None:
+        # Late answers to a process that ran here before must not match probes of this one.
+        self._sequence = self._rng.randrange(1 << 32)
+
     def configure(self, hosts: tuple[manifest.Host, ...]) -> None:
         """Takes over a roster; beliefs about hosts that stay are kept."""
         members: dict[str, Member] = {}
@@ -300,22 +307,18 @@
 
     def _next_target(self) -> str | None:
         if not self._ring:
-            self._ring = self._new_ring()
-        return self._ring.pop() if self._ring else None
-
-    def _new_ring(self) -> list[str]:
-        ring: list[str] = []
-        unreachable: list[str] = []
-        for host_id, member in self.members.items():
-            if member.state is _State.UNREACHABLE:
-                unreachable.append(host_id)
-            elif member.state is not _State.LEFT:
-                ring.append(host_id)
-        # A few probes go to unreachable hosts, so that a healed partition is noticed.
-        count = min(len(unreachable), 1 + len(ring) // RECOVERY_PROBE_RATIO)
-        ring += self._rng.sample(unreachable, count)
-        self._rng.shuffle(ring)
-        return ring
+            self._ring = [
+                host_id
+                for host_id, member in self.members.items()
+                if member.state is not _State.LEFT
+            ]
+            self._rng.shuffle(self._ring)
+        while self._ring:
+            host_id = self._ring.pop()
+            skipped = _SKIPPED_PROBES.get(self.members[host_id].state, 0.0)
+            if not self._ring or self._rng.random() >= skipped:
+                return host_id
+        return None
 
     def _next_sequence(self) -> int:
         self._sequence += 1
--- a/testing/process/test_fleet_parts.py
+++ b/testing/process/test_fleet_parts.py
@@ -195,6 +195,23 @@
     assert receiver.seen_ms("c") == 1_000 - 2 * quorum.AGE_UNIT_MS
 
 
+def test_late_confirmation_after_a_repeated_probe_is_no_fresh_evidence() -> None:
+    """Guards against a duplicated probe that makes an old confirmation look new."""
+    clock = clocks.ManualClock()
+    view = fleet_view.FleetView.create("host-0", clock, random.Random(1))
+    view.offer(_cut(sized_fleet.build(3)))
+    clock.advance(10_000)
+    first_ms = clock.now_ms()
+    probe = messages.Envelope("host-1", 5, _DIGEST, messages.Ping(7))
+    confirm = attrs.evolve(probe, body=messages.Confirm(7))
+    view.receive(probe, sized_fleet.address(1))
+    clock.advance(5_000)
+    view.tick()
+    view.receive(probe, sized_fleet.address(1))
+    view.receive(confirm, sized_fleet.address(1))
+    assert view.evidence.seen_ms("host-1") <= first_ms
+
+
 def test_duplicate_notices_are_dropped_and_memory_is_bounded() -> None:
     """Guards against notices that circulate for ever, and against growth without limit."""
     relay = notices.Notices("a", limit=10)
