--- a/src/sesamehold/connection/fleet_service.py
+++ b/src/sesamehold/connection/fleet_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -86,12 +87,18 @@
 
 @attrs.define(eq=False)
 class FleetService:
-    """Runs membership, notices and configuration of one host."""
+    """Runs membership, notices and configuration of one host.
+
+    Attributes:
+        on_notice: Called with each notice about a target, a crash suspect or a leaving host that
+            this host receives for the first time.
+    """
 
     _node: nodes.Node
     _reader: configuration_reader.ConfigurationReader
     _endpoint: datagram.DatagramEndpoint
     _server: peer_server.PeerServer
+    on_notice: Callable[[messages.NoticeBody], None] = _ignore
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
     @classmethod
@@ -152,8 +159,9 @@
         for change in view.changes:
             _LOG.info(change.event, extra=change.fields)
         view.changes.clear()
-        # No module of this host acts on received notices yet.
-        view.received.clear()
+        received, view.received = view.received, []
+        for body in received:
+            self.on_notice(body)
         self._reader.poke()
 
     def leave(self) -> None:
