--- a/bench/sesamehold_bench/process/stream_state.py
+++ b/bench/sesamehold_bench/process/stream_state.py
@@ -16,7 +16,6 @@
 from sesamehold.process import dispatch
 from sesamehold.process import explanations
 from sesamehold.process import ledger
-from sesamehold.process import local_claims
 from sesamehold.process import metrics
 from sesamehold.process import retry_budget
 from sesamehold.process import slots
@@ -53,6 +52,11 @@
     async def cancel(self, target: manifest.Target, attempt: ids.AttemptId) -> events.Usage | None:
         return None
 
+    async def read_outcome(
+        self, target: manifest.Target, key: ids.ExecutionKey
+    ) -> calls.TargetOutcome | None:
+        return None
+
 
 @attrs.define(eq=False)
 class _NoSink:
@@ -71,6 +75,14 @@
         del failure
 
 
+@attrs.frozen
+class _NoClaims:
+    """Claims of pipelines whose stages may all be repeated."""
+
+    def open(self, pipeline: manifest.Pipeline) -> calls.ExecutionClaims:
+        raise AssertionError(f"pipeline {pipeline.name!r} has a stage that may not be repeated")
+
+
 @contextlib.asynccontextmanager
 async def held_streams(count: int) -> AsyncIterator[None]:
     """Holds streams open that have delivered half of their answers."""
@@ -83,7 +95,7 @@
         clock=clock,
         slots=registry,
         targets=targets,
-        claims=local_claims.LocalClaims(),
+        claims=_NoClaims(),
         ledger=ledger.Ledger(),
         metrics=metrics.Metrics(client=None),
     )
--- a/src/sesamehold/process/configuration.py
+++ b/src/sesamehold/process/configuration.py
@@ -14,6 +14,7 @@
 from sesamehold.process import messages
 from sesamehold.version import acceptance
 from sesamehold.version import manifest
+from sesamehold.version import roster
 from sesamehold.version import sections
 
 # Versions whose section hashes are kept, so that an asker only has to name the version that it has.
@@ -194,7 +195,7 @@
     def overlap_rosters(self, now_ms: int) -> tuple[RosterVersion, ...]:
         """Returns the rosters of the overlap window, the one in force first."""
         self._expire_rosters(now_ms)
-        return tuple(sorted(self._rosters, key=lambda roster: -roster.version))
+        return tuple(sorted(self._rosters, key=lambda item: -item.version))
 
     def note_digest(self, digest: messages.Digest) -> bool:
         """Counts a peer's digest with the version in force but other content as a conflict."""
@@ -209,7 +210,7 @@
             "version": self.version,
             "content_hash": self.in_force.content_hash.hex() if self.in_force else None,
             "section_count": len(self.in_force.sections) if self.in_force else 0,
-            "overlap_versions": [roster.version for roster in self.overlap_rosters(now_ms)],
+            "overlap_versions": [item.version for item in self.overlap_rosters(now_ms)],
             "conflict_count": self.conflict_count,
             "refused_count": self.refused_count,
             "last_refusal": type(self.last_refusal).__name__ if self.last_refusal else None,
@@ -251,37 +252,36 @@
     def _expire_rosters(self, now_ms: int) -> None:
         if self.in_force is None:
             return
-        retention_ms = self.in_force.manifest.policy.key_retention_ms
+        policy = self.in_force.manifest.policy
+        retention_ms = roster.CLAIM_WINDOW_PERIODS * policy.key_retention_ms
         self._rosters = [
-            roster
-            for roster in self._rosters
-            if roster.superseded_ms is None or now_ms - roster.superseded_ms < retention_ms
+            item
+            for item in self._rosters
+            if item.superseded_ms is None or now_ms - item.superseded_ms < retention_ms
         ]
 
     def _past_rosters(self, known_version: int, now_ms: int) -> tuple[PastRoster, ...]:
         # An asker that had a roster in force keeps it itself; it lacks those that it skipped.
         return tuple(
             PastRoster(
-                version=roster.version,
-                superseded_age_ms=max(0, now_ms - roster.superseded_ms),
-                hosts_json=_hosts_json(roster.hosts),
+                version=item.version,
+                superseded_age_ms=max(0, now_ms - item.superseded_ms),
+                hosts_json=_hosts_json(item.hosts),
             )
-            for roster in self.overlap_rosters(now_ms)
-            if roster.superseded_ms is not None and roster.version > known_version
+            for item in self.overlap_rosters(now_ms)
+            if item.superseded_ms is not None and item.version > known_version
         )
 
     def _add_past_rosters(self, past: tuple[PastRoster, ...], now_ms: int) -> None:
-        for roster in past:
+        for item in past:
             try:
-                hosts = _CONVERTER.structure(
-                    json.loads(roster.hosts_json), tuple[manifest.Host, ...]
-                )
+                hosts = _CONVERTER.structure(json.loads(item.hosts_json), tuple[manifest.Host, ...])
             except (ValueError, cattrs.BaseValidationError):
                 continue
-            if any(item.hosts == hosts for item in self._rosters):
+            if any(held.hosts == hosts for held in self._rosters):
                 continue
-            superseded_ms = now_ms - roster.superseded_age_ms
-            self._rosters.append(RosterVersion(roster.version, hosts, superseded_ms))
+            superseded_ms = now_ms - item.superseded_age_ms
+            self._rosters.append(RosterVersion(item.version, hosts, superseded_ms))
 
     def _judge_equal(
         self, answer: SectionsAnswer
--- a/src/sesamehold/process/execution_claims.py
+++ b/src/sesamehold/process/execution_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import enum
 
 import attrs
@@ -85,15 +86,29 @@
         memory = witness.ClaimMemory(started_ms=now_ms, started_wall_ms=wall_ms)
         return cls(host_id, wall_ms, quorum_check, pauses, memory)
 
-    def configure(self, version: manifest.Manifest, now_ms: int, wall_ms: int) -> None:
-        """Takes over the roster and the policy of a newly accepted version."""
+    def configure(
+        self,
+        version: manifest.Manifest,
+        now_ms: int,
+        wall_ms: int,
+        past: Iterable[tuple[roster.Roster, int]] = (),
+    ) -> None:
+        """Takes over the roster and the policy of a newly accepted version.
+
+        Args:
+            version: The version in force.
+            now_ms: Monotonic time.
+            wall_ms: Unix time.
+            past: Rosters that peers had in force before, each with the time it was superseded.
+        """
         newest = roster.Roster.from_manifest(version)
         previous = self.window.current
         if previous is None or previous.host(self.host_id) is None:
             # Claims may have been granted by this host's future peers before it joined them.
             self.memory.restart(now_ms, wall_ms)
         self.policy = version.policy
-        self.window = self.window.accept(newest, version.policy.key_retention_ms, now_ms)
+        window = self.window.accept(newest, version.policy.key_retention_ms, now_ms)
+        self.window = window.learn(past)
         self.memory.retention_ms = version.policy.key_retention_ms
         self.memory.clock_skew_ms = version.policy.clock_skew_ms
         self.answers.retention_ms = version.policy.key_retention_ms
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -31,6 +31,7 @@
 from sesamehold.request import execution
 from sesamehold.request import ids
 from sesamehold.version import manifest
+from sesamehold.version import roster
 from sesamehold.version import validation
 
 RETRY_BURST = 10.0
@@ -125,7 +126,13 @@
         self.ledger.configure(version)
         self.retry_budget.fraction = version.policy.retry_fraction
         self.slots.configure(version)
-        self.claims.configure(version, self.clock.now_ms(), self.clock.wall_ms())
+        now_ms = self.clock.now_ms()
+        past = [
+            (roster.Roster.from_hosts(item.version, item.hosts), item.superseded_ms)
+            for item in self.fleet.configuration_state.overlap_rosters(now_ms)
+            if item.superseded_ms is not None
+        ]
+        self.claims.configure(version, now_ms, self.clock.wall_ms(), past)
 
     @property
     def origin(self) -> ledgers.Origin:
--- a/src/sesamehold/version/roster.py
+++ b/src/sesamehold/version/roster.py
@@ -95,7 +95,12 @@
     @classmethod
     def from_manifest(cls, version: manifest.Manifest) -> Roster:
         """Returns the host list of a manifest."""
-        return cls(version.version, tuple(sorted(version.hosts, key=lambda host: host.id)))
+        return cls.from_hosts(version.version, version.hosts)
+
+    @classmethod
+    def from_hosts(cls, version: int, hosts: Iterable[manifest.Host]) -> Roster:
+        """Returns a host list in the order of host ids."""
+        return cls(version, tuple(sorted(hosts, key=lambda host: host.id)))
 
     def host(self, host_id: str) -> manifest.Host | None:
         """Returns the host with this id."""
@@ -149,12 +154,28 @@
         changed = self._current is not None and self._current.content_hash != roster.content_hash
         if changed and self._current is not None:
             kept = (_Superseded(self._current, now_ms), *kept)
-        hosts = {
-            (host.id, host.zone): host
-            for item in (roster, *(predecessor.roster for predecessor in kept))
-            for host in item.hosts
+        return _window(retention_ms, roster, kept)
+
+    def learn(self, past: Iterable[tuple[Roster, int]]) -> RosterWindow:
+        """Returns the window with rosters that other hosts had in force before.
+
+        A host that has just started, or that skipped a version, cannot know them from itself.
+
+        Args:
+            past: Rosters, each with the time at which it was superseded.
+        """
+        if self._current is None:
+            return self
+        known = {
+            self._current.content_hash,
+            *(item.roster.content_hash for item in self._predecessors),
         }
-        return RosterWindow(retention_ms, roster, kept, tuple(hosts.values()))
+        learned = tuple(
+            _Superseded(roster, superseded_ms)
+            for roster, superseded_ms in past
+            if roster.content_hash not in known
+        )
+        return _window(self.retention_ms, self._current, (*self._predecessors, *learned))
 
     def rosters(self, now_ms: int) -> tuple[Roster, ...]:
         """Returns the rosters that a claimant needs a majority of, newest first."""
@@ -177,6 +198,17 @@
         return distinct(ranking.witnesses(item) for item in self.rosters(now_ms))
 
 
+def _window(
+    retention_ms: int, current: Roster, predecessors: tuple[_Superseded, ...]
+) -> RosterWindow:
+    hosts = {
+        (host.id, host.zone): host
+        for item in (current, *(predecessor.roster for predecessor in predecessors))
+        for host in item.hosts
+    }
+    return RosterWindow(retention_ms, current, predecessors, tuple(hosts.values()))
+
+
 def distinct(
     sets: Iterable[tuple[manifest.Host, ...]],
 ) -> tuple[tuple[manifest.Host, ...], ...]:
