Keep restarts out of the dissemination queue

Cause: a host that heard of a higher incarnation of a live member queued an update for everybody.

Change: a higher incarnation is passed on only if it changes the state.

--- a/src/sesamehold/process/membership.py
+++ b/src/sesamehold/process/membership.py
@@ -179,7 +179,12 @@
     def on_sender(self, host_id: str, incarnation: int, now_ms: int) -> None:
         """Notes a message from a member, which may have restarted."""
         member = self.members.get(host_id)
-        if member is not None and incarnation > member.incarnation:
+        if member is None or incarnation <= member.incarnation:
+            return
+        if member.state is _State.ALIVE:
+            # No news for others: passing it on would fill the queue when all hosts start at once.
+            member.incarnation = incarnation
+        else:
             self.apply(messages.MemberUpdate(host_id, incarnation, _State.ALIVE), now_ms)
 
     def apply(self, update: messages.MemberUpdate, now_ms: int) -> None:
--- a/testing/process/test_fleet_parts.py
+++ b/testing/process/test_fleet_parts.py
@@ -167,6 +167,22 @@
     assert view.updates_for("host-1") == (messages.MemberUpdate("host-0", 11, _State.ALIVE),)
 
 
+@pytest.mark.parametrize(
+    ("state", "queued"),
+    [(_State.ALIVE, 0), (_State.UNREACHABLE, 1)],
+    ids=["was-alive", "was-unreachable"],
+)
+def test_new_incarnation_is_passed_on_only_if_it_changes_the_state(
+    state: messages.MemberState, queued: int
+) -> None:
+    """Guards against a start of all hosts that keeps news of failures in the queue for minutes."""
+    view = _members(3)
+    view.apply(messages.MemberUpdate("host-1", 0, state), 0)
+    view.on_sender("host-1", 5, 0)
+    assert view.members["host-1"].incarnation == 5
+    assert view.dump()["queued_updates"] == queued
+
+
 def test_update_is_sent_a_bounded_number_of_times() -> None:
     """Guards against piggybacked updates that never end."""
     view = _members(9)
