Serve attempts that will probably be late after all others

Cause: under overload, the earliest deadlines belong to attempts that have waited so long that their work is mostly cut at the deadline. Change: an attempt with less time than the 0.9 quantile of its need moves to a queue that is served last; it is still refused only below the 0.1 quantile.

--- a/src/sesamehold/process/admission.py
+++ b/src/sesamehold/process/admission.py
@@ -24,21 +24,23 @@
         request: The attempt.
         arrived_ms: Time at which it began to wait.
         latest_start_ms: From this time on it can no longer meet its deadline.
+        likely_start_ms: From this time on it will probably miss its deadline.
         cost_ms: Expected service time, which fair shares are counted in.
         share: Account whose share it counts towards.
         order_ms: Attempts of one share go in ascending order of this time.
         long: Whether it is expected to run much longer than the pool's median.
-        removed: True once it is granted, denied or withdrawn.
+        queue: The queue that it waits in now.
     """
 
     request: dispatch.SlotRequest
     arrived_ms: int
     latest_start_ms: int
+    likely_start_ms: int
     cost_ms: float
     share: str
     order_ms: int
     long: bool = False
-    removed: bool = False
+    queue: FairQueue | None = None
 
 
 @attrs.define
@@ -86,7 +88,7 @@
     def push(self, item: WaitingAttempt) -> None:
         """Adds an attempt."""
         account = item.share
-        item.removed = False
+        item.queue = self
         number = next(self._sequence)
         heapq.heappush(self._heaps.setdefault(account, []), (item.order_ms, number, item))
         heapq.heappush(self._expiry, (item.latest_start_ms, number, item))
@@ -99,7 +101,7 @@
         if account is None:
             return None
         heap = self._heaps[account]
-        while heap[0][2].removed:
+        while heap[0][2].queue is not self:
             heapq.heappop(heap)
         return heap[0][2]
 
@@ -108,7 +110,7 @@
         item = self._by_attempt.pop(attempt, None)
         if item is None:
             return None
-        item.removed = True
+        item.queue = None
         account = item.share
         self._counts[account] -= 1
         if not self._counts[account]:
@@ -119,9 +121,11 @@
     def take_expired(self, now_ms: int) -> list[WaitingAttempt]:
         """Removes and returns the attempts that can no longer meet their deadlines."""
         expired: list[WaitingAttempt] = []
-        while self._expiry and (self._expiry[0][2].removed or self._expiry[0][0] <= now_ms):
+        while self._expiry and (
+            self._expiry[0][2].queue is not self or self._expiry[0][0] <= now_ms
+        ):
             item = heapq.heappop(self._expiry)[2]
-            if not item.removed:
+            if item.queue is self:
                 self.withdraw(item.request.attempt)
                 expired.append(item)
         return expired
@@ -136,7 +140,7 @@
 
     def evict(self, account: str) -> WaitingAttempt | None:
         """Removes and returns the account's attempt with the latest deadline."""
-        waiting = [entry for entry in self._heaps.get(account, ()) if not entry[2].removed]
+        waiting = [entry for entry in self._heaps.get(account, ()) if entry[2].queue is self]
         if not waiting:
             return None
         return self.withdraw(max(waiting)[2].request.attempt)
--- a/src/sesamehold/process/policy_dispatcher.py
+++ b/src/sesamehold/process/policy_dispatcher.py
@@ -24,6 +24,8 @@
 
 # A request is refused early only if even a fast run would miss its deadline.
 LOW_QUANTILE = 0.1
+# With less time than this quantile of the need, an attempt is served after all others.
+LIKELY_QUANTILE = 0.9
 LONG_FACTOR = 3.0
 LONG_MIN_MS = 1_000
 CAPACITY_REFRESH_MS = 250
@@ -223,6 +225,7 @@
                 name: {
                     "waiting_short": len(work.short),
                     "waiting_long": len(work.long),
+                    "waiting_doubtful": len(work.doubtful),
                     "waiting_suspects": len(work.isolated),
                     "long_running": work.long_running,
                     "capacity": work.capacity,
@@ -247,7 +250,10 @@
             return errors.CrashSuspect(
                 detail="Targets crashed while they ran this request; it is not run again."
             )
-        if self.options.early_refusal and self._latest_start_ms(request, now_ms) <= now_ms:
+        if (
+            self.options.early_refusal
+            and self._latest_start_ms(request, LOW_QUANTILE, now_ms) <= now_ms
+        ):
             return self._unreachable(request, work, now_ms)
         return self._limit_refusal(request, now_ms)
 
@@ -271,24 +277,26 @@
         pool_ms = self.latencies.pool_ms(request.stage.pool, 0.5, now_ms)
         long_ms = max(LONG_MIN_MS, LONG_FACTOR * (pool_ms or 0.0))
         fair = self.options.fair_queue
-        latest_start_ms = self._latest_start_ms(request, now_ms)
+        latest_start_ms = self._latest_start_ms(request, LOW_QUANTILE, now_ms)
+        likely_start_ms = self._latest_start_ms(request, LIKELY_QUANTILE, now_ms)
         return admission.WaitingAttempt(
             request=request,
             arrived_ms=now_ms,
             latest_start_ms=latest_start_ms,
+            likely_start_ms=likely_start_ms if fair else request.deadline_ms,
             cost_ms=expected_ms or pool_ms or 1.0,
             share=request.account if fair else "",
             order_ms=latest_start_ms if fair else now_ms,
             long=fair and expected_ms is not None and expected_ms >= long_ms,
         )
 
-    def _latest_start_ms(self, request: dispatch.SlotRequest, now_ms: int) -> int:
+    def _latest_start_ms(self, request: dispatch.SlotRequest, quantile: float, now_ms: int) -> int:
         if not self.options.early_refusal:
             return request.deadline_ms
         # A repeated generation resumes its stream, so it may need less than a whole run.
         resumes = request.attempt.number > 1 and request.stage.kind is manifest.StageKind.GENERATE
         stages = request.later_stages if resumes else (request.stage, *request.later_stages)
-        need_ms = self.latencies.need_ms(request.pipeline, stages, LOW_QUANTILE, now_ms)
+        need_ms = self.latencies.need_ms(request.pipeline, stages, quantile, now_ms)
         return request.deadline_ms - int(need_ms)
 
     def _enqueue(
@@ -359,13 +367,10 @@
         return decisions
 
     def _serve_one(self, work: pool_work.PoolWork, now_ms: int) -> dispatch.SlotGranted | None:
-        for lane in work.lanes():
-            item = lane.peek()
-            if item is None:
-                continue
+        for item in work.next_items(now_ms):
             granted = self._grant(work, item, now_ms)
             if granted is not None:
-                lane.withdraw(item.request.attempt)
+                work.withdraw(item.request.attempt)
                 return granted
         return None
 
--- a/testing/process/test_admission.py
+++ b/testing/process/test_admission.py
@@ -12,7 +12,7 @@
     number: int, account: str, order_ms: int = 0, cost_ms: float = 1.0
 ) -> admission.WaitingAttempt:
     request = dispatch_factories.attempt(number, account=account)
-    return admission.WaitingAttempt(request, 0, 1_000 + order_ms, cost_ms, account, order_ms)
+    return admission.WaitingAttempt(request, 0, 1_000 + order_ms, 1_000, cost_ms, account, order_ms)
 
 
 def _serve(queue: admission.FairQueue, count: int) -> list[tuple[str, int]]:
--- a/testing/process/test_policy_dispatcher.py
+++ b/testing/process/test_policy_dispatcher.py
@@ -206,3 +206,23 @@
     state = dispatcher.state(0)
     assert [row["target"] for row in state["targets"]] == ["t0", "t1"]
     assert "secret" not in str(state)
+
+
+# Under overload the earliest deadlines belong to attempts whose work would mostly be wasted.
+def test_attempt_that_will_probably_be_late_goes_last() -> None:
+    dispatcher = make.warm_dispatcher(make.version(targets=1))
+    for number in range(1_000, 1_040):
+        request = make.attempt(number)
+        dispatcher.acquire(request, 0)
+        report = make.report(duration_ms=100 if number % 2 else 400)
+        dispatcher.release(request.attempt, report, 0)
+    for number in range(8):
+        dispatcher.acquire(make.attempt(number), 500)
+    late, soon = make.attempt(100, deadline_ms=1_000), make.attempt(101, deadline_ms=5_000)
+    for request in (late, soon):
+        assert isinstance(dispatcher.acquire(request, 500), dispatch.SlotQueued)
+    order: list[dispatch.SlotDecision] = []
+    for number in range(8):
+        order += dispatcher.release(make.attempt(number).attempt, make.report(), 650)
+    served = [item.attempt for item in order if make.granted(item)]
+    assert served.index(soon.attempt) < served.index(late.attempt)
