--- a/src/sesamehold/process/policy_dispatcher.py
+++ b/src/sesamehold/process/policy_dispatcher.py
@@ -181,6 +181,7 @@
 
     def tick(self, now_ms: int) -> list[dispatch.SlotDecision]:
         """Denies what can no longer finish and serves waiting attempts."""
+        self.targets.cold_shares.observe(now_ms)
         decisions = self._take_outbox()
         for name, work in self._work.items():
             if work.capacity_ms is None or now_ms - work.capacity_ms >= CAPACITY_REFRESH_MS:
--- a/src/sesamehold/version/shares.py
+++ b/src/sesamehold/version/shares.py
@@ -89,8 +89,10 @@
     Attributes:
         host_id: This host.
         quorum: Slots are unusable without it.
-        pauses: Slots are unusable for the quorum detection bound after a pause, because the roster
-            and the quorum may have changed meanwhile.
+        pauses: Tells of pauses of the event loop.
+
+    After a pause or a lost quorum, slots stay unusable for the quorum detection bound, because the
+    roster may have changed meanwhile and the host needs some seconds to learn of it.
     """
 
     host_id: str
@@ -127,7 +129,8 @@
         A slot counts only if this host held it in every roster of the hold-off, which is the quorum
         detection bound plus the longest work on the target.
         """
-        if not self._in_contact(now_ms):
+        self.observe(now_ms)
+        if now_ms < self._suspended_until_ms:
             return 0
         slots = self._slots_in(self._roster, target_id)
         hold_off_ms = QUORUM_DETECTION_BOUND_MS + self._max_service_ms.get(target_id, 0)
@@ -136,11 +139,12 @@
                 slots = min(slots, self._slots_in(roster, target_id))
         return slots
 
-    def _in_contact(self, now_ms: int) -> bool:
+    def observe(self, now_ms: int) -> None:
+        """Checks pause and quorum; to be called regularly, so that no loss goes unseen."""
         checked_ms, self._checked_ms = self._checked_ms, now_ms
-        if checked_ms is not None and self.pauses.paused_since(checked_ms):
+        paused = checked_ms is not None and self.pauses.paused_since(checked_ms)
+        if paused or not self.quorum.has_quorum(now_ms):
             self._suspended_until_ms = now_ms + QUORUM_DETECTION_BOUND_MS
-        return now_ms >= self._suspended_until_ms and self.quorum.has_quorum(now_ms)
 
     def _slots_in(self, roster: _Roster, target_id: str) -> int:
         key = (id(roster), target_id)
--- a/testing/version/test_shares.py
+++ b/testing/version/test_shares.py
@@ -89,12 +89,18 @@
     assert item.slots("t0", later_ms) == expected
 
 
-def test_slots_return_after_a_pause() -> None:
-    contact = Contact(paused=True)
+@pytest.mark.parametrize(
+    "contact",
+    [
+        pytest.param(Contact(paused=True), id="pause"),
+        pytest.param(Contact(quorum=False), id="lost quorum"),
+    ],
+)
+def test_slots_return_only_after_the_host_could_learn_of_a_new_roster(contact: Contact) -> None:
     item = shares.ColdShares("h0", quorum=contact, pauses=contact)
     item.configure(dispatch_factories.version(), 0)
     item.slots("t0", 0)
     assert item.slots("t0", 5) == 0
-    contact.paused = False
+    contact.paused, contact.quorum = False, True
     assert item.slots("t0", 5 + shares.QUORUM_DETECTION_BOUND_MS - 1) == 0
     assert item.slots("t0", 5 + shares.QUORUM_DETECTION_BOUND_MS) == 2
