--- /dev/null
+++ b/testing/request/test_policies.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+import json
+
+import dispatch_factories as make
+import pytest
+
+from sesamehold.process import settings
+from sesamehold.request import policies
+
+FIELDS = {
+    "host_id": "h0",
+    "zone": "z0",
+    "caller_address": "",
+    "operator_address": "",
+    "peer_address": "",
+    "platform_address": "",
+    "operator_credential": "",
+    "peer_keys": [],
+}
+
+
+# A baseline that does not grant work would make every comparison with it worthless.
+@pytest.mark.parametrize("name", [kind.value for kind in settings.DispatcherKind])
+def test_every_dispatcher_of_the_settings_grants_work(name: str) -> None:
+    config = settings.from_text(json.dumps({**FIELDS, "dispatcher": name})).ok
+    dispatcher = policies.build(config, "seed")
+    dispatcher.configure(make.version(), 0)
+    assert make.granted(dispatcher.acquire(make.attempt(1), 0)) in {"t0", "t1"}
+
+
+def test_unknown_dispatcher_is_a_fault_of_the_settings() -> None:
+    result = settings.from_text(json.dumps({**FIELDS, "dispatcher": "fastest"}))
+    assert [fault.path for fault in result.error] == ["$.dispatcher"]
