Give each local fleet its own loopback address

Cause: fleets of test runs at the same time took ports from each other between the choice of a port and listening on it. Two of eleven runs of the fleet test failed while other suites ran on the machine; the log of a host in two fleets says that the address was in use.

Change: the IP number of a local fleet depends on its process id.

--- a/bench/sesamehold_bench/process/local_fleet.py
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -48,14 +48,20 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses that are free now, on TCP and UDP alike."""
+    """Returns loopback addresses that are free now, on TCP and UDP alike.
+
+    The IP number depends on the process, because a port of 127.0.0.1 that is free now may be taken
+    by another fleet or by an outgoing connection before the fleet listens on it.
+    """
+    process_id = os.getpid()
+    ip = f"127.{1 + process_id // 250 % 250}.{1 + process_id % 250}.1"
     sockets = []
     for _ in range(count):
         candidate = socket.socket()
         candidate.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        candidate.bind(("127.0.0.1", 0))
+        candidate.bind((ip, 0))
         sockets.append(candidate)
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    addresses = [f"{ip}:{item.getsockname()[1]}" for item in sockets]
     for item in sockets:
         item.close()
     return addresses
