Close the idle connections of a target whose connection went silent

Cause: a call over a new connection that went silent dropped the session of its target without closing it when no other call used that session.

Change: retire closes an idle session itself.

--- a/bench/sesamehold_bench/process/experiments.py
+++ b/bench/sesamehold_bench/process/experiments.py
@@ -100,6 +100,7 @@
                     "duration_s": selection.duration_s,
                     "rates_per_s": [round(phase.rate_per_s, 1) for phase in config.phases],
                     "command": f"sesamehold-bench experiments --only {experiment.name} "
+                    f"--deployments {deployment_name} --dispatchers {dispatcher} "
                     f"--seed {selection.seed} --duration-s {selection.duration_s}",
                     "baseline": experiment.baseline,
                     "load_average": round(os.getloadavg()[0], 1),
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -145,7 +145,7 @@
             return exchange.fault(events.AttemptFault.TIMEOUT)
         if exchange.verdict is liveness.Verdict.UNREACHABLE:
             return exchange.fault(events.AttemptFault.CONNECTION_LOST)
-        self._sessions.retire(call.target.address)
+        await self._sessions.retire(call.target.address)
         fault = exchange.fault(events.AttemptFault.SILENT)
         if not call.stage.repeatable:
             return fault
--- a/src/sesamehold/connection/target_sessions.py
+++ b/src/sesamehold/connection/target_sessions.py
@@ -72,12 +72,14 @@
             if entry.retired and not entry.open_calls:
                 await entry.session.close()
 
-    def retire(self, address: str) -> None:
+    async def retire(self, address: str) -> None:
         """Gives up the kept-alive connections to a target; calls that run on them go on."""
         entry = self._pooled.pop(address, None)
-        if entry is not None:
-            # The call that found the silence still holds the session, so its end closes it.
-            entry.retired = True
+        if entry is None:
+            return
+        entry.retired = True
+        if not entry.open_calls:
+            await entry.session.close()
 
     async def probe(self, address: str) -> bool:
         """Returns whether the target answers on a fresh connection.
