Compare a target's latency with its pool in the adaptive limit

Cause: a target that is slow from its first answer on learns a slow baseline, so its limit never fell. Change: the limit also falls when the latency exceeds twice the median of the pool for the same stage.

--- a/src/sesamehold/process/concurrency.py
+++ b/src/sesamehold/process/concurrency.py
@@ -38,7 +38,10 @@
 
     @property
     def congested(self) -> bool:
-        return self.smoothed_ms > LATENCY_TOLERANCE * self.baseline_ms + LATENCY_SLACK_MS
+        return self.exceeds(self.baseline_ms)
+
+    def exceeds(self, usual_ms: float) -> bool:
+        return self.smoothed_ms > LATENCY_TOLERANCE * usual_ms + LATENCY_SLACK_MS
 
 
 @attrs.define
@@ -70,7 +73,14 @@
         self._slow_start = True
         self._latencies.clear()
 
-    def record_success(self, stage: str, latency_ms: int, outstanding: int, now_ms: int) -> None:
+    def record_success(
+        self,
+        stage: str,
+        latency_ms: int,
+        outstanding: int,
+        now_ms: int,
+        usual_ms: float | None = None,
+    ) -> None:
         """Learns from a complete answer.
 
         Args:
@@ -78,12 +88,14 @@
             latency_ms: Time to the first piece, or the whole time without a stream.
             outstanding: Attempts on the target when the answer came, this one included.
             now_ms: Current time.
+            usual_ms: Median over all targets of the pool, None if unknown. A target that has been
+                slow from the start shows it only in comparison with the others.
         """
         latency = self._latencies.get(stage)
         if latency is None:
             latency = self._latencies[stage] = _StageLatency(latency_ms, latency_ms)
         latency.add(latency_ms)
-        if latency.congested:
+        if latency.congested or (usual_ms is not None and latency.exceeds(usual_ms)):
             self._decrease(LATENCY_FACTOR, now_ms)
         elif 2 * outstanding >= self.limit:
             # A limit that is not used says nothing about a higher one.
--- a/src/sesamehold/process/policy_dispatcher.py
+++ b/src/sesamehold/process/policy_dispatcher.py
@@ -508,9 +508,13 @@
             self.latencies.record(
                 request.pipeline, stage, report.duration_ms, report.first_piece_ms, now_ms
             )
-        signal_ms = report.duration_ms if report.first_piece_ms is None else report.first_piece_ms
+        signal_ms = report.first_piece_ms
+        if signal_ms is None:
+            signal_ms = report.duration_ms
+        else:
+            usual_ms = self.latencies.first_piece_ms(request.pipeline, stage, 0.5, now_ms)
         name = f"{request.pipeline}/{stage.name}"
-        state.limit.record_success(name, signal_ms, outstanding, now_ms)
+        state.limit.record_success(name, signal_ms, outstanding, now_ms, usual_ms)
         self.suspects.record_success(request.fingerprint, stage.name, now_ms)
         if request.prefix_hashes:
             if grant.hinted and report.cached_units == 0:
--- a/testing/process/test_concurrency.py
+++ b/testing/process/test_concurrency.py
@@ -41,3 +41,11 @@
     for _ in range(10):
         limit.record_overload(5)
     assert limit.limit == pytest.approx(2.8)
+
+
+# A target that has been slow from its first answer on has a slow baseline of its own.
+def test_limit_falls_on_a_target_that_is_slower_than_its_pool() -> None:
+    limit = concurrency.AdaptiveLimit(16)
+    for now_ms in range(0, 20_000, 1_000):
+        limit.record_success("s", 500, int(limit.limit), now_ms, usual_ms=100)
+    assert limit.limit == 1
