End with code 2 when an address cannot be listened on

Cause: a daemon whose operator or peer address was in use wrote a traceback and left its HTTP sessions open.

Change: the address and the reason are printed and the process ends with code 2, as for other faults of the settings.

Conclusion: a test starts the daemon with an operator address in use.

--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -136,7 +136,11 @@
         self, application: web.Application, address: str, tls: ssl.SSLContext | None
     ) -> None:
         limits = self.node.config.limits
-        listener = await http_listener.HttpListener.start(application, address, limits, tls)
+        try:
+            listener = await http_listener.HttpListener.start(application, address, limits, tls)
+        except OSError as error:
+            await self._close()
+            raise StartError(f"{address}: cannot listen: {error.strerror}") from error
         self._listeners.append(listener)
 
     async def _watch_configuration(self) -> None:
@@ -199,8 +203,8 @@
         _LOG.info("stopped", extra={"host_id": self.node.config.host_id})
 
 
-class CertificateError(Exception):
-    """Certificate files of the settings cannot be loaded at start."""
+class StartError(Exception):
+    """A certificate cannot be loaded or an address cannot be listened on."""
 
 
 def _certificate(
@@ -213,7 +217,7 @@
         case Result(tag="ok", ok=loaded):
             return loaded
         case Result(error=unusable):
-            raise CertificateError(f"{unusable.path}: {unusable.reason}")
+            raise StartError(f"{unusable.path}: {unusable.reason}")
 
 
 class DaemonService(aiomisc.Service):
@@ -221,6 +225,7 @@
 
     config: settings.Settings
     finished: asyncio.Event
+    failure: StartError | None = None
 
     async def start(self) -> None:
         """Starts the daemon.
@@ -236,6 +241,8 @@
         self.start_event.set()
         try:
             await daemon.run()
+        except StartError as error:
+            self.failure = error
         finally:
             self.finished.set()
 
@@ -246,6 +253,8 @@
     # Entered as an asynchronous context, so that aiomisc creates no thread pool.
     async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
         await finished.wait()
+    if service.failure is not None:
+        raise service.failure
 
 
 app = cyclopts.App(
@@ -265,7 +274,7 @@
             try:
                 with logs.handler().applicationbound():
                     uvloop.run(_run(config))
-            except CertificateError as error:
+            except StartError as error:
                 print(error, file=sys.stderr)
                 return EXIT_BAD_SETTINGS
             return 0
--- a/testing/process/test_daemon_start.py
+++ b/testing/process/test_daemon_start.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import socket
 import ssl
 import subprocess
 import sys
@@ -41,6 +42,26 @@
     assert all(word in done.stderr for word in words), done.stderr
 
 
+def test_address_in_use_ends_with_code_2(tmp_path: pathlib.Path) -> None:
+    """Guards against a daemon that goes on without one of its interfaces."""
+    caller, operator, peer = local_fleet.free_addresses(3)
+    ip, _, port = operator.rpartition(":")
+    document = factories.settings_document() | {
+        "caller_address": caller,
+        "operator_address": operator,
+        "peer_address": peer,
+        "caller_tls": None,
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(document))
+    command = [sys.executable, "-m", "sesamehold.process.daemon", "--settings", str(path)]
+    with socket.create_server((ip, int(port))):
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2, done.stderr
+    assert f"{operator}: cannot listen" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_callers_are_served_with_tls(tmp_path: pathlib.Path) -> None:
     files = certificates.Authority.make().write(tmp_path, "host-0")
     caller, operator, peer = local_fleet.free_addresses(3)
