--- a/bench/sesamehold_bench/process/local_fleet.py
+++ b/bench/sesamehold_bench/process/local_fleet.py
@@ -22,6 +22,8 @@
 from sesamehold_bench.version import fleet
 
 # Generous: the machine may be shared with other work.
+# No balancer stands before a local fleet; the time only separates the two phases of a stop.
+BALANCER_GRACE_MS = 100
 READY_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 30.0
 REPLACEMENT_POLL_S = 0.2
@@ -161,6 +163,7 @@
             "peer_keys": [PEER_KEY],
             "seeds": [peer for _, _, peer in self.addresses.hosts],
             "random_seed": index,
+            "balancer_grace_ms": BALANCER_GRACE_MS,
             **self.settings,
             **overrides,
         }
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -30,6 +30,7 @@
 SLOT_TICK_S = 0.05
 METRICS_TICK_S = 1.0
 DRAIN_POLL_S = 0.05
+_MS_PER_S = 1_000
 LOAD_POLL_S = 0.1
 
 _LOG = logbook.Logger("daemon")
@@ -72,7 +73,7 @@
         await self._close()
 
     def start_drain(self) -> None:
-        """Refuses new requests, finishes the running ones and stops."""
+        """Leaves the balancer, serves what it still sends, finishes and stops."""
         if self.node.requests.draining:
             return
         self.node.requests.draining = True
@@ -85,7 +86,11 @@
         log_state(self.node)
 
     async def _drain(self) -> None:
-        deadline_ms = self.node.clock.now_ms() + self.node.config.drain_ms
+        config = self.node.config
+        # The balancer still sends until its next health check has failed.
+        await asyncio.sleep(config.balancer_grace_ms / _MS_PER_S)
+        self.node.requests.closed = True
+        deadline_ms = self.node.clock.now_ms() + config.drain_ms
         while len(self.node.requests) and self.node.clock.now_ms() < deadline_ms:
             await asyncio.sleep(DRAIN_POLL_S)
         self._stopped.set()
@@ -111,7 +116,11 @@
         self, application: web.Application, address: str, context: ssl.SSLContext | None
     ) -> None:
         limits = self.node.config.limits
-        listener = await http_listener.HttpListener.start(application, address, limits, context)
+        try:
+            listener = await http_listener.HttpListener.start(application, address, limits, context)
+        except OSError as error:
+            await self._close()
+            raise StartError(f"{address}: cannot listen: {error.strerror}") from error
         self._listeners.append(listener)
 
     async def _tick(self) -> None:
@@ -121,9 +130,11 @@
             self.node.slots.tick()
             now_ms = self.node.clock.now_ms()
             self._publish_findings()
-            if now_ms - last_slow_ms >= METRICS_TICK_S * 1_000:
+            if now_ms - last_slow_ms >= METRICS_TICK_S * _MS_PER_S:
                 last_slow_ms = now_ms
                 self.node.metrics.gauge("requests.open", len(self.node.requests))
+                alive = self.node.fleet.alive_count()
+                self._parts.dispatcher.account_limits.set_live_hosts(alive)
                 self.node.metrics.flush()
                 self._parts.certificates.reload_if_changed()
 
@@ -171,11 +182,16 @@
     _LOG.info("state", extra={"state": dump.state(node)})
 
 
+class StartError(Exception):
+    """An address of the settings cannot be listened on."""
+
+
 class DaemonService(aiomisc.Service):
     """Runs a `Daemon` as an aiomisc service."""
 
     config: settings.Settings
     finished: asyncio.Event
+    failure: StartError | None = None
 
     async def start(self) -> None:
         """Starts the daemon.
@@ -191,6 +207,8 @@
         self.start_event.set()
         try:
             await daemon.run()
+        except StartError as error:
+            self.failure = error
         finally:
             self.finished.set()
 
@@ -201,6 +219,8 @@
     # Entered as an asynchronous context, so that aiomisc creates no thread pool.
     async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
         await finished.wait()
+    if service.failure is not None:
+        raise service.failure
 
 
 app = cyclopts.App(
@@ -220,7 +240,7 @@
             try:
                 with logs.handler().applicationbound():
                     uvloop.run(_run(config))
-            except components.CertificateError as error:
+            except (StartError, components.CertificateError) as error:
                 print(error, file=sys.stderr)
                 return EXIT_BAD_SETTINGS
             return 0
--- a/src/sesamehold/process/fleet_view.py
+++ b/src/sesamehold/process/fleet_view.py
@@ -232,6 +232,10 @@
             return False
         return self.evidence.has_quorum(now_ms)
 
+    def alive_count(self) -> int:
+        """Returns how many hosts of the roster ran lately, this host included."""
+        return self.evidence.alive_count(self.clock.now_ms())
+
     def is_stale(self) -> bool:
         """Returns whether a pause has made beliefs stale and no probe has been answered since."""
         # Nobody can acknowledge the probes of the only host of a roster.
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -150,7 +150,7 @@
 
     def admit(self, query: AdmissionQuery) -> Result[execution.Request, errors.Failure]:
         """Admits a submission or refuses it."""
-        if self.version is None or not self.is_ready():
+        if self.version is None or not self.fleet.is_ready() or self.requests.closed:
             return Error(
                 errors.Draining(
                     detail="This host is starting or stopping; send the request again.",
--- a/src/sesamehold/process/order_ownership.py
+++ b/src/sesamehold/process/order_ownership.py
@@ -15,8 +15,8 @@
 
 from sesamehold.version import manifest
 from sesamehold.version import rendezvous
+from sesamehold.version import shares
 
-QUORUM_BOUND_MS = 10_000
 ORDER_TIMEOUT_MS = 60_000
 
 
@@ -54,11 +54,11 @@
     def hold_off_ms(self) -> int:
         """Returns how long a new owner waits.
 
-        The previous owner may act until it notices that it lost its quorum, and an order that it
-        sent just before may take effect until the order times out. The skew keeps fencing numbers
+        The previous owner may act until it notices that it lost its quorum or learns of the roster,
+        and an order that it sent just before may take effect until the order times out. The skew keeps fencing numbers
         growing.
         """
-        return QUORUM_BOUND_MS + ORDER_TIMEOUT_MS + self.clock_skew_ms
+        return shares.HOLD_OFF_BASE_MS + ORDER_TIMEOUT_MS + self.clock_skew_ms
 
     def configure(self, version: manifest.Manifest, now_ms: int) -> None:
         """Takes over the roster and the pools of a configuration version."""
--- a/src/sesamehold/process/requests.py
+++ b/src/sesamehold/process/requests.py
@@ -46,12 +46,21 @@
 
 @attrs.define
 class RequestRegistry:
-    """Open requests by id; each entry is removed when its request ends."""
+    """Open requests by id; each entry is removed when its request ends.
+
+    Attributes:
+        clock: Source of time.
+        rng: Source of the random part of request ids.
+        host_id: This host.
+        draining: True once a graceful shutdown has begun; requests are still admitted.
+        closed: True once no more requests are admitted.
+    """
 
     clock: clocks.Clock
     rng: random.Random
     host_id: str
     draining: bool = False
+    closed: bool = False
     _open: dict[str, OpenRequest] = attrs.field(factory=dict)
 
     def new_id(self) -> str:
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -119,6 +119,8 @@
         caller_tls: Certificate for callers.
         peer_tls: Certificate for traffic between hosts.
         limits: Limits on what callers may send.
+        balancer_grace_ms: Time that a graceful shutdown serves new requests after this host
+            reports that it is not ready, because the balancer still sends some.
         drain_ms: Longest time that a graceful shutdown waits for running requests.
         random_seed: Seed of all random decisions; the wall clock if absent.
         dispatcher: Dispatch policy, or a baseline to compare it with.
@@ -137,6 +139,7 @@
     caller_tls: Tls | None = None
     peer_tls: Tls | None = None
     limits: CallerLimits = CallerLimits()
+    balancer_grace_ms: int = 5_000
     drain_ms: int = 60_000
     random_seed: int | None = None
     dispatcher: DispatcherKind = DispatcherKind.POLICY
@@ -170,6 +173,7 @@
         ),
         "seeds": constraints.Constraint(items=constraints.ADDRESS),
         "statsd_address": constraints.ADDRESS,
+        "balancer_grace_ms": constraints.Constraint(minimum=0, maximum=600_000),
         "drain_ms": constraints.Constraint(minimum=0, maximum=86_400_000),
     },
 }
--- a/src/sesamehold/version/shares.py
+++ b/src/sesamehold/version/shares.py
@@ -16,6 +16,10 @@
 
 # A host that lost its quorum notices it within this time (design, section 6.3).
 QUORUM_DETECTION_BOUND_MS = 10_000
+# A cut that is shorter than the detection bound goes unnoticed, and the host that was cut off
+# learns of the new roster up to this much later.
+CONFIGURATION_SPREAD_MS = 5_000
+HOLD_OFF_BASE_MS = QUORUM_DETECTION_BOUND_MS + CONFIGURATION_SPREAD_MS
 
 
 class Quorum(Protocol):
@@ -123,7 +127,7 @@
             self._roster = roster
             self._cache.clear()
         longest_ms = max(self._max_service_ms.values(), default=0)
-        oldest_ms = now_ms - QUORUM_DETECTION_BOUND_MS - longest_ms
+        oldest_ms = now_ms - HOLD_OFF_BASE_MS - longest_ms
         self._superseded = [item for item in self._superseded if item[1] > oldest_ms]
 
     def slots(self, target_id: str, now_ms: int) -> int:
@@ -136,7 +140,7 @@
         if now_ms < self._suspended_until_ms:
             return 0
         slots = self._slots_in(self._roster, target_id)
-        hold_off_ms = QUORUM_DETECTION_BOUND_MS + self._max_service_ms.get(target_id, 0)
+        hold_off_ms = HOLD_OFF_BASE_MS + self._max_service_ms.get(target_id, 0)
         for roster, superseded_ms in self._superseded:
             if slots and now_ms - superseded_ms < hold_off_ms:
                 slots = min(slots, self._slots_in(roster, target_id))
