Give all specifications one form and check them with one command

Cause: three modules had a class of their own for a model with its mutants, and the checker knew only one specification. Change: specification.Specification is shared; check.py runs all of them, bounded or full, with safety and, where a model has a goal, liveness.

--- a/specs/sesamehold_specs/check.py
+++ b/specs/sesamehold_specs/check.py
@@ -15,30 +15,20 @@
 import cyclopts
 import minicheck
 
+from sesamehold_specs import cold_shares
+from sesamehold_specs import configuration
 from sesamehold_specs import execution_claim
+from sesamehold_specs import order_fencing
 
 MAX_STATES = 8_000_000
 # A counterexample of a partial search is still one.
 MAX_MUTANT_STATES = 400_000
 
-
-@attrs.frozen
-class Specification:
-    """A specification of this package.
-
-    Attributes:
-        name: Name in the output.
-        models: Returns the models that must hold, bounded or full.
-        mutants: Returns models without one rule, which must have a counterexample.
-    """
-
-    name: str
-    models: Callable[..., list[minicheck.Protocol]]
-    mutants: Callable[[], dict[str, minicheck.Protocol]]
-
-
 SPECIFICATIONS = (
-    Specification("execution-claim", execution_claim.models, execution_claim.mutants),
+    *execution_claim.SPECIFICATIONS,
+    *configuration.SPECIFICATIONS,
+    *cold_shares.SPECIFICATIONS,
+    *order_fencing.SPECIFICATIONS,
 )
 
 
@@ -48,7 +38,7 @@
 
     Attributes:
         holds: True only if the whole space was searched and every invariant held.
-        refuted: Whether some invariant has a counterexample.
+        refuted: Whether some invariant or the goal has a counterexample.
         states: Number of states that were explored.
         exhaustive: Whether the whole space was searched.
         trace: Steps of the shortest counterexample.
@@ -62,9 +52,11 @@
 
 
 def search(model: minicheck.Protocol, max_states: int) -> Outcome:
-    """Searches a model for violations of its invariants."""
+    """Searches a model for violations of its invariants, and of its goal if it has one."""
     found: dict[str, Any] = minicheck.check_safety(model, max_states=max_states)
     verdicts = list(found["properties"].values())
+    if model.goal is not None and found["exhaustive"]:
+        verdicts.append(minicheck.check_liveness(model))
     traces = [item["counterexample"] for item in verdicts if item["holds"] is False]
     shortest = min(traces, key=len, default=[])
     return Outcome(
@@ -101,6 +93,9 @@
         invariants={name: watched(name, holds) for name, holds in mutant.invariants.items()},
     )
     outcome = search(watching, max_states)
+    if not outcome.refuted and mutant.goal is not None:
+        # Some rules serve the goal alone; their absence breaks no invariant.
+        return search(mutant, max_states)
     return attrs.evolve(outcome, exhaustive=outcome.exhaustive and not violated)
 
 
@@ -108,22 +103,26 @@
     """Checks everything; returns 0 if all models hold and all mutants are refuted.
 
     Args:
-        full: Checks the full models instead of the bounded ones.
+        full: Checks the full models as well as the bounded ones.
     """
     passed = True
-    for specification in SPECIFICATIONS:
-        for model in specification.models(full=full):
-            started_s = time.monotonic()
-            outcome = search(model, MAX_STATES)
-            passed = passed and outcome.holds
-            verdict = "holds" if outcome.holds else f"FAILS: {' / '.join(outcome.trace)}"
-            _print(model.name, outcome, time.monotonic() - started_s, verdict)
-        for rule, mutant in specification.mutants().items():
+    total_states = 0
+    for item in SPECIFICATIONS:
+        if item.full_only and not full:
+            continue
+        started_s = time.monotonic()
+        outcome = search(item.protocol(), MAX_STATES)
+        total_states += outcome.states
+        passed = passed and outcome.holds
+        verdict = "holds" if outcome.holds else f"FAILS: {' / '.join(outcome.trace)}"
+        _print(item.name, outcome, time.monotonic() - started_s, verdict)
+        for rule, make_mutant in item.mutants.items():
             started_s = time.monotonic()
-            outcome = refute(mutant, MAX_MUTANT_STATES)
+            outcome = refute(make_mutant(), MAX_MUTANT_STATES)
             passed = passed and outcome.refuted
             verdict = " / ".join(outcome.trace) if outcome.refuted else "NO COUNTEREXAMPLE"
-            _print(f"without {rule}", outcome, time.monotonic() - started_s, verdict)
+            _print(f"  without {rule}", outcome, time.monotonic() - started_s, verdict)
+    print(f"{total_states:,} states of models in all")
     return 0 if passed else 1
 
 
--- a/specs/sesamehold_specs/cold_shares.py
+++ b/specs/sesamehold_specs/cold_shares.py
@@ -22,6 +22,8 @@
 import attrs
 from minicheck import Protocol
 
+from sesamehold_specs import specification
+
 CAPACITY_COLD = 1
 
 # Phases of the hold-off of host 1, and of the age of a cut, in passings of the clock.
@@ -59,23 +61,6 @@
     static_slots: bool = True
 
 
-@attrs.frozen
-class Specification:
-    """A model with its mutants, each of which must give a counterexample.
-
-    Attributes:
-        name: Short name.
-        protocol: Builds the model.
-        max_states: Bound of the search.
-        mutants: Builders of the mutants by name.
-    """
-
-    name: str
-    protocol: Callable[[], Protocol]
-    max_states: int
-    mutants: dict[str, Callable[[], Protocol]]
-
-
 @attrs.frozen
 class _View:
     """One state with named parts."""
@@ -209,7 +194,7 @@
 
 
 SPECIFICATIONS = [
-    Specification(
+    specification.Specification(
         name="cold-shares",
         protocol=build,
         max_states=200_000,
--- a/specs/sesamehold_specs/configuration.py
+++ b/specs/sesamehold_specs/configuration.py
@@ -18,7 +18,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import functools
 from typing import Any
 from typing import TypeAlias
@@ -26,6 +25,8 @@
 import attrs
 from minicheck import Protocol
 
+from sesamehold_specs import specification
+
 # Version number, content, whether the content is valid.
 Published: TypeAlias = tuple[int, str, bool]
 # Version and content in force, and whether the host takes traffic.
@@ -63,23 +64,6 @@
     reader_count: int = 2
 
 
-@attrs.frozen
-class Specification:
-    """A model with its mutants.
-
-    Attributes:
-        name: Unique name.
-        protocol: Makes the model.
-        max_states: Bound of the search; the model has fewer reachable states.
-        mutants: Models without one rule, by the name of the rule; each has a counterexample.
-    """
-
-    name: str
-    protocol: Callable[[], Protocol]
-    max_states: int
-    mutants: dict[str, Callable[[], Protocol]]
-
-
 def build(name: str, size: Size, rules: Rules) -> Protocol:
     """Returns the model of a fleet."""
     model = _Model(size, rules)
@@ -227,11 +211,14 @@
 }
 
 
-def _specification(name: str, size: Size, max_states: int) -> Specification:
-    return Specification(
+def _specification(
+    name: str, size: Size, max_states: int, *, full_only: bool = False
+) -> specification.Specification:
+    return specification.Specification(
         name=name,
         protocol=lambda: build(name, size, Rules()),
         max_states=max_states,
+        full_only=full_only,
         mutants={
             rule: functools.partial(build, f"{name}: {rule}", size, rules)
             for rule, rules in _MUTANTS.items()
@@ -241,5 +228,5 @@
 
 SPECIFICATIONS = [
     _specification("configuration-bounded", Size(3, BOUNDED, 1), 200_000),
-    _specification("configuration-full", Size(3, FULL, 3), 2_000_000),
+    _specification("configuration-full", Size(3, FULL, 3), 2_000_000, full_only=True),
 ]
--- a/specs/sesamehold_specs/execution_claim.py
+++ b/specs/sesamehold_specs/execution_claim.py
@@ -30,12 +30,16 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import enum
+import functools
 from typing import Any
 from typing import TypeAlias
 
 import attrs
 import minicheck
 
+from sesamehold_specs import specification
+
+MAX_STATES = 8_000_000
 IDLE, CLAIMING, GRANTED, DISPATCHED, RELEASED = range(5)
 NOBODY = 0
 State: TypeAlias = tuple[Any, ...]
@@ -474,3 +478,26 @@
         Rule.RELEASE_BY_ID.value: single_roster(without(Rule.RELEASE_BY_ID), Bounds(3, 0)),
         Rule.NO_USE_AFTER_RELEASE.value: single_roster(without(Rule.NO_USE_AFTER_RELEASE), small),
     }
+
+
+def _specifications() -> list[specification.Specification]:
+    bounded = {model.name for model in models(full=False)}
+    both = [*models(full=False), *(item for item in models(full=True) if item.name not in bounded)]
+    found = [
+        specification.Specification(
+            name=model.name,
+            protocol=functools.partial(_return, model),
+            max_states=MAX_STATES,
+            full_only=model.name not in bounded,
+        )
+        for model in both
+    ]
+    makers = {rule: functools.partial(_return, model) for rule, model in mutants().items()}
+    return [attrs.evolve(found[0], mutants=makers), *found[1:]]
+
+
+def _return(model: minicheck.Protocol) -> minicheck.Protocol:
+    return model
+
+
+SPECIFICATIONS = _specifications()
--- a/specs/sesamehold_specs/order_fencing.py
+++ b/specs/sesamehold_specs/order_fencing.py
@@ -24,16 +24,20 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import functools
 
 import attrs
 import minicheck
 
+from sesamehold_specs import specification
+
 QUORUM_TICKS = 1
 DELAY_TICKS = 1
 SKEW_TICKS = 1
 HOLD_OFF_TICKS = QUORUM_TICKS + DELAY_TICKS + SKEW_TICKS + 1
 
 NOTHING = -1
+MAX_STATES = 200_000
 
 
 @attrs.frozen
@@ -197,3 +201,31 @@
             ),
         },
     )
+
+
+def _specification(*, checks: bool, mutants: dict[str, Rules]) -> specification.Specification:
+    return specification.Specification(
+        name=protocol(checks=checks).name,
+        protocol=lambda: protocol(checks=checks),
+        max_states=MAX_STATES,
+        mutants={
+            rule: functools.partial(protocol, rules, checks=checks)
+            for rule, rules in mutants.items()
+        },
+    )
+
+
+SPECIFICATIONS = [
+    _specification(
+        checks=True,
+        mutants={
+            "hold-off": Rules(hold_off=False),
+            "quorum": Rules(quorum=False),
+            "engine check": Rules(engine_check=False),
+        },
+    ),
+    _specification(
+        checks=False,
+        mutants={"hold-off": Rules(hold_off=False), "quorum": Rules(quorum=False)},
+    ),
+]
--- a/src/sesamehold/process/order_ownership.py
+++ b/src/sesamehold/process/order_ownership.py
@@ -55,7 +55,8 @@
         """Returns how long a new owner waits.
 
         The previous owner may act until it notices that it lost its quorum or learns of the roster,
-        and an order that it sent just before may take effect until the order times out. The skew keeps fencing numbers
+        and an order that it sent just before may take effect until the order times out. The skew
+        keeps fencing numbers
         growing.
         """
         return shares.HOLD_OFF_BASE_MS + ORDER_TIMEOUT_MS + self.clock_skew_ms
