--- a/specs/sesamehold_specs/check.py
+++ b/specs/sesamehold_specs/check.py
@@ -21,6 +21,8 @@
 from sesamehold_specs import order_fencing
 
 MAX_STATES = 8_000_000
+# minicheck decides a goal only for spaces up to this size.
+MAX_GOAL_STATES = 200_000
 # A counterexample of a partial search is still one.
 MAX_MUTANT_STATES = 400_000
 
@@ -42,6 +44,7 @@
         states: Number of states that were explored.
         exhaustive: Whether the whole space was searched.
         trace: Steps of the shortest counterexample.
+        goal_checked: Whether the model's goal was checked as well as its invariants.
     """
 
     holds: bool
@@ -49,13 +52,19 @@
     states: int
     exhaustive: bool
     trace: tuple[str, ...] = ()
+    goal_checked: bool = False
 
 
 def search(model: minicheck.Protocol, max_states: int) -> Outcome:
     """Searches a model for violations of its invariants, and of its goal if it has one."""
     found: dict[str, Any] = minicheck.check_safety(model, max_states=max_states)
     verdicts = list(found["properties"].values())
-    if model.goal is not None and found["exhaustive"]:
+    checks_goal = (
+        model.goal is not None
+        and found["exhaustive"]
+        and found["reachable_states"] <= MAX_GOAL_STATES
+    )
+    if checks_goal:
         verdicts.append(minicheck.check_liveness(model))
     traces = [item["counterexample"] for item in verdicts if item["holds"] is False]
     shortest = min(traces, key=len, default=[])
@@ -65,6 +74,7 @@
         states=found["reachable_states"],
         exhaustive=found["exhaustive"],
         trace=tuple(step["label"] for step in shortest[1:]),
+        goal_checked=checks_goal,
     )
 
 
@@ -115,6 +125,7 @@
         total_states += outcome.states
         passed = passed and outcome.holds
         verdict = "holds" if outcome.holds else f"FAILS: {' / '.join(outcome.trace)}"
+        verdict += ", goal included" if outcome.goal_checked else ""
         _print(item.name, outcome, time.monotonic() - started_s, verdict)
         for rule, make_mutant in item.mutants.items():
             started_s = time.monotonic()
--- a/specs/sesamehold_specs/execution_claim.py
+++ b/specs/sesamehold_specs/execution_claim.py
@@ -480,20 +480,20 @@
     }
 
 
+def _specification(model: minicheck.Protocol, *, full: bool) -> specification.Specification:
+    return specification.Specification(
+        name=f"{model.name}{'/full' if full else ''}",
+        protocol=lambda: model,
+        max_states=MAX_STATES,
+        full_only=full,
+    )
+
+
 def _specifications() -> list[specification.Specification]:
-    bounded = {model.name for model in models(full=False)}
-    both = [*models(full=False), *(item for item in models(full=True) if item.name not in bounded)]
-    found = [
-        specification.Specification(
-            name=model.name,
-            protocol=functools.partial(_return, model),
-            max_states=MAX_STATES,
-            full_only=model.name not in bounded,
-        )
-        for model in both
-    ]
+    bounded = [_specification(model, full=False) for model in models(full=False)]
+    full = [_specification(model, full=True) for model in models(full=True)]
     makers = {rule: functools.partial(_return, model) for rule, model in mutants().items()}
-    return [attrs.evolve(found[0], mutants=makers), *found[1:]]
+    return [attrs.evolve(bounded[0], mutants=makers), *bounded[1:], *full]
 
 
 def _return(model: minicheck.Protocol) -> minicheck.Protocol:
--- a/src/sesamehold/process/order_ownership.py
+++ b/src/sesamehold/process/order_ownership.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import enum
-from typing import Protocol
 
 import attrs
 
+from sesamehold.process import fleet_health
 from sesamehold.version import manifest
 from sesamehold.version import rendezvous
 from sesamehold.version import shares
@@ -20,13 +20,6 @@
 ORDER_TIMEOUT_MS = 60_000
 
 
-class Quorum(Protocol):
-    """What this host knows about the majority of its roster."""
-
-    def has_quorum(self, now_ms: int) -> bool:
-        """Returns whether a majority of the roster is alive and agrees with this host's roster."""
-
-
 class OrderPermission(enum.Enum):
     """Answer to the question whether an order may be sent now."""
 
@@ -77,7 +70,7 @@
         """Returns the owner of a pool."""
         return self._owners.get(pool)
 
-    def permission(self, pool: str, quorum: Quorum, now_ms: int) -> OrderPermission:
+    def permission(self, pool: str, quorum: fleet_health.Quorum, now_ms: int) -> OrderPermission:
         """Returns whether an order to a target of the pool may be sent now.
 
         Asked right before the order is sent, so that a paused host does not act on an old answer.
--- a/src/sesamehold/process/policy_dispatcher.py
+++ b/src/sesamehold/process/policy_dispatcher.py
@@ -9,6 +9,7 @@
 
 from sesamehold.process import admission
 from sesamehold.process import dispatch
+from sesamehold.process import fleet_health
 from sesamehold.process import latency
 from sesamehold.process import pool_work
 from sesamehold.process import prefix_index
@@ -107,8 +108,8 @@
         selector: target_selector.TargetSelector,
         options: PolicyOptions = PolicyOptions(),
         *,
-        quorum: shares.Quorum = shares.SINGLE_HOST_FLEET,
-        pauses: shares.PauseWatch = shares.SINGLE_HOST_FLEET,
+        quorum: fleet_health.Quorum = fleet_health.SINGLE_HOST_FLEET,
+        pauses: fleet_health.PauseDetector = fleet_health.SINGLE_HOST_FLEET,
     ) -> PolicyDispatcher:
         """Returns a dispatcher that knows no configuration version yet."""
         table = target_table.TargetTable(
--- a/src/sesamehold/request/policies.py
+++ b/src/sesamehold/request/policies.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 
+from sesamehold.process import fleet_health
 from sesamehold.process import policy_dispatcher
 from sesamehold.process import settings
 from sesamehold.process import target_selector
 from sesamehold.request import selection
-from sesamehold.version import shares
 
 _Parts = tuple[target_selector.TargetSelector, policy_dispatcher.PolicyOptions]
 
@@ -44,8 +44,8 @@
     config: settings.Settings,
     random_seed: str,
     *,
-    quorum: shares.Quorum = shares.SINGLE_HOST_FLEET,
-    pauses: shares.PauseWatch = shares.SINGLE_HOST_FLEET,
+    quorum: fleet_health.Quorum = fleet_health.SINGLE_HOST_FLEET,
+    pauses: fleet_health.PauseDetector = fleet_health.SINGLE_HOST_FLEET,
 ) -> policy_dispatcher.PolicyDispatcher:
     """Returns the dispatcher that the settings name.
 
--- a/src/sesamehold/version/shares.py
+++ b/src/sesamehold/version/shares.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Protocol
 
 import attrs
 
+from sesamehold.process import fleet_health
 from sesamehold.version import manifest
 from sesamehold.version import rendezvous
 
@@ -22,36 +22,6 @@
 HOLD_OFF_BASE_MS = QUORUM_DETECTION_BOUND_MS + CONFIGURATION_SPREAD_MS
 
 
-class Quorum(Protocol):
-    """Tells whether this host sees a majority of its roster alive."""
-
-    def has_quorum(self, now_ms: int) -> bool:
-        """Returns whether the quorum holds now."""
-
-
-class PauseWatch(Protocol):
-    """Tells whether the event loop stood still."""
-
-    def paused_since(self, time_ms: int) -> bool:
-        """Returns whether the event loop was paused at some time after `time_ms`."""
-
-
-@attrs.frozen
-class SingleHostFleet:
-    """Quorum and pause watch of a fleet with one host, which no other host can replace."""
-
-    def has_quorum(self, now_ms: int) -> bool:
-        """Returns True: the only host is its own majority."""
-        return True
-
-    def paused_since(self, time_ms: int) -> bool:
-        """Returns False: no other host takes over slots during a pause."""
-        return False
-
-
-SINGLE_HOST_FLEET = SingleHostFleet()
-
-
 def deal(host_ids: Sequence[str], target_id: str, capacity_cold: int) -> dict[str, int]:
     """Returns the slots of each host that holds any.
 
@@ -100,8 +70,8 @@
     """
 
     host_id: str
-    quorum: Quorum = SINGLE_HOST_FLEET
-    pauses: PauseWatch = SINGLE_HOST_FLEET
+    quorum: fleet_health.Quorum = fleet_health.SINGLE_HOST_FLEET
+    pauses: fleet_health.PauseDetector = fleet_health.SINGLE_HOST_FLEET
     _roster: _Roster = _NO_ROSTER
     _superseded: list[tuple[_Roster, int]] = attrs.field(factory=list)
     _max_service_ms: dict[str, int] = attrs.field(factory=dict)
--- a/testing/dispatch_factories.py
+++ b/testing/dispatch_factories.py
@@ -5,12 +5,12 @@
 import random
 
 from sesamehold.process import dispatch
+from sesamehold.process import fleet_health
 from sesamehold.process import policy_dispatcher
 from sesamehold.request import events
 from sesamehold.request import ids
 from sesamehold.request import selection
 from sesamehold.version import manifest
-from sesamehold.version import shares
 
 STAGE = manifest.Stage(name="s", kind=manifest.StageKind.SERVICE, pool="p")
 LATER = manifest.Stage(name="later", kind=manifest.StageKind.SERVICE, pool="p")
@@ -99,8 +99,8 @@
     host: str = "h0",
     options: policy_dispatcher.PolicyOptions = policy_dispatcher.PolicyOptions(),  # noqa: B008
     *,
-    quorum: shares.Quorum = shares.SINGLE_HOST_FLEET,
-    pauses: shares.PauseWatch = shares.SINGLE_HOST_FLEET,
+    quorum: fleet_health.Quorum = fleet_health.SINGLE_HOST_FLEET,
+    pauses: fleet_health.PauseDetector = fleet_health.SINGLE_HOST_FLEET,
 ) -> policy_dispatcher.PolicyDispatcher:
     """Returns a policy dispatcher with a fixed seed."""
     selector = selection.LoadAwareSelector(random.Random(host))
