--- a/testing/fleet_session.py
+++ b/testing/fleet_session.py
@@ -99,11 +99,12 @@
 
 
 @contextlib.contextmanager
-def small_fleet() -> Iterator[FleetSession]:
-    """Starts the small fleet and stops it at the end."""
+def small_fleet(**settings: Any) -> Iterator[FleetSession]:
+    """Starts the small fleet, with additional settings of its hosts, and stops it at the end."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         session = runner.run(_session())
         running = local_fleet.LocalFleet.from_config(fleet.SMALL, session)
+        running.settings.update(settings)
         try:
             runner.run(running.start())
             yield FleetSession(running, runner)
