List every module on the design page and check it

Change: the tables name every module; a test compares them with the source, so that the page cannot fall behind. Checked: the pages' tests pass.

--- a/testing/process/test_pages.py
+++ b/testing/process/test_pages.py
@@ -180,3 +180,16 @@
         sink.timing("requests.duration_ms", 1.0)
         sink.flush()
     assert sink.counters["requests.admitted"] == 3
+
+
+def test_design_page_lists_every_module() -> None:
+    """Guards the module tables against modules that were added, renamed or removed."""
+    page = (ROOT / "docs" / "design.md").read_text()
+    listed = set(re.findall(r"`([a-z_0-9]+\.py)`", page))
+    modules = {
+        path.name
+        for path in SOURCE.rglob("*.py")
+        if path.name != "__init__.py" and path.parent.name != "wire"
+    }
+    # The page names the parts of the command line by a pattern.
+    assert {name for name in modules if not name.startswith("cli_")} == listed
