Install the pinned packages without resolving them again

Cause: make demo from a fresh clone spent most of its time in pip; requirements.txt pins every package, so there is nothing to resolve. Change: pip installs with --no-deps.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 $(STAMP): requirements.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
