Serve the users' platform through a gateway, thin path

Cause: the product spoke only its own interface; the platform sends requests by host and path to services, engines and stages whose targets register in a store. Change: a gateway in the four life spans (routing table, relay of one request, connections to targets, state of the process) and the adapter platform/, which holds names, formats and calls. Targets' connections are driven on aiohttp's response protocol, because its client session repeats GET by itself. Ruled out: the client session with its private switch for that repetition.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: demo test check format lint types pytest check-models bench reference generate
 
-$(STAMP): requirements.txt
+$(STAMP): requirements.txt requirements-runtime.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
--- /dev/null
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -0,0 +1,159 @@
+"""HTTP server for the callers whose requests are forwarded."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+import attrs
+
+from sesamehold.connection.gateway import target_pool
+from sesamehold.request.gateway import messages
+from sesamehold.request.gateway import relay
+from sesamehold.version import routing
+
+# Time without any part of a body after which its caller counts as gone.
+BODY_PAUSE_S = 5.0
+
+
+@attrs.define(eq=False)
+class Ingress:
+    """Handler of all requests of callers."""
+
+    _parts: relay.RelayParts
+
+    def server(self) -> web.Server:
+        """Returns the aiohttp server; a handler is cancelled when its caller leaves."""
+        return web.Server(self.handle, handler_cancellation=True, access_log=None)
+
+    @property
+    def limits(self) -> routing.IngressLimits:
+        """Returns the limits of callers that are in force."""
+        table = self._parts.state.table
+        return table.limits if table is not None else routing.IngressLimits()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request."""
+        state = self._parts.state
+        arrived_ms = state.clock.now_ms()
+        if request.transport is not None:
+            target_pool.watch_peer(request.transport.get_extra_info("socket"))
+        decoded = self._parts.codec.request_head(
+            request.method,
+            request.raw_path.encode("utf-8", "surrogateescape"),
+            tuple(request.raw_headers),
+        )
+        if decoded.is_error():
+            sink = HttpSink(self._parts, request, None)
+            state.log.write("request.malformed", reason=decoded.error.reason)
+            await sink.refuse(messages.Refusal(messages.Reason.MALFORMED))
+            return sink.response
+        head = decoded.ok
+        sink = HttpSink(self._parts, request, head.request_id)
+        body = await self._body(request)
+        if isinstance(body, messages.Refusal):
+            state.log.write("request.refused", request=head.request_id, reason=body.reason.value)
+            await sink.refuse(body)
+            return sink.response
+        incoming = relay.Incoming(head, body, arrived_ms)
+        state.open_requests += 1
+        try:
+            await relay.Relay(self._parts, incoming, sink).run()
+        except ConnectionError:
+            # The caller left while the answer was written.
+            sink.abort()
+        except Exception as error:
+            state.log.write("request.error", request=head.request_id, error=repr(error))
+            if sink.begun:
+                sink.abort()
+                raise
+            await sink.refuse(messages.Refusal(messages.Reason.INTERNAL, may_have_run=True))
+        finally:
+            state.open_requests -= 1
+        return sink.response
+
+    async def _body(self, request: web.BaseRequest) -> bytes | messages.Refusal | None:
+        """Returns the body, None if the request has none."""
+        limit = self.limits.body_size_bytes
+        too_large = messages.Refusal(messages.Reason.BODY_TOO_LARGE)
+        if request.content_length is not None and request.content_length > limit:
+            return too_large
+        framed = "Content-Length" in request.headers or "Transfer-Encoding" in request.headers
+        if not framed:
+            return None
+        chunks: list[bytes] = []
+        size_bytes = 0
+        try:
+            while True:
+                async with asyncio.timeout(BODY_PAUSE_S):
+                    chunk = await request.content.readany()
+                if not chunk:
+                    return b"".join(chunks)
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes > limit:
+                    return too_large
+        except TimeoutError:
+            return messages.Refusal(messages.Reason.BODY_TIMEOUT)
+        except web.RequestPayloadError:
+            return messages.Refusal(messages.Reason.MALFORMED)
+
+
+@attrs.define(eq=False)
+class HttpSink:
+    """Writes the answer to one request of a caller."""
+
+    _parts: relay.RelayParts
+    _request: web.BaseRequest
+    _request_id: str | None
+    response: web.StreamResponse = attrs.field(factory=web.StreamResponse, init=False)
+    begun: bool = attrs.field(default=False, init=False)
+
+    async def whole(self, status: int, headers: messages.HeaderPairs, body: bytes) -> None:
+        """Sends a complete answer."""
+        response = web.Response(status=status, body=body)
+        _set_headers(response, headers)
+        await self._send(response)
+
+    async def begin(self, status: int, headers: messages.HeaderPairs) -> None:
+        """Sends the head of an answer whose body follows in chunks."""
+        response = web.StreamResponse(status=status)
+        _set_headers(response, headers)
+        self._close_if_stopping(response)
+        self.response = response
+        self.begun = True
+        await response.prepare(self._request)
+
+    async def chunk(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the body as complete."""
+        await self.response.write_eof()
+
+    async def refuse(self, refusal: messages.Refusal) -> None:
+        """Sends an answer of the gateway's own."""
+        status, headers, body = self._parts.codec.refusal(refusal, self._request_id)
+        await self._send(web.Response(status=status, headers=headers, body=body))
+
+    def abort(self) -> None:
+        """Cuts the connection."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _send(self, response: web.Response) -> None:
+        self._close_if_stopping(response)
+        self.response = response
+        self.begun = True
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    def _close_if_stopping(self, response: web.StreamResponse) -> None:
+        if self._parts.state.stopping:
+            response.force_close()
+
+
+def _set_headers(response: web.StreamResponse, headers: messages.HeaderPairs) -> None:
+    for name, value in headers:
+        response.headers.add(name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import ssl
 from typing import Any
 
@@ -50,9 +51,9 @@
 
 @attrs.define(eq=False)
 class HttpListener:
-    """Serves one application on one address."""
+    """Serves HTTP on one address."""
 
-    _runner: web.AppRunner
+    _runner: web.BaseRunner
     _server: asyncio.Server
 
     @classmethod
@@ -65,15 +66,40 @@
     ) -> HttpListener:
         """Listens on an address; connections without a request are cut after the idle time."""
         runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
+        address = settings.Address.parse(address_text)
+        return await cls._listen(runner, address, lambda: limits, tls)
+
+    @classmethod
+    async def serve(
+        cls,
+        server: web.Server,
+        address: settings.Address,
+        limits: Callable[[], settings.CallerLimits],
+    ) -> HttpListener:
+        """Listens on an address for a server without routes.
+
+        Args:
+            server: Server whose handler gets all requests.
+            address: Where to listen.
+            limits: Returns the limits for a new connection.
+        """
+        return await cls._listen(web.ServerRunner(server), address, limits, None)
+
+    @classmethod
+    async def _listen(
+        cls,
+        runner: web.BaseRunner,
+        address: settings.Address,
+        limits: Callable[[], settings.CallerLimits],
+        tls: ssl.SSLContext | None,
+    ) -> HttpListener:
         await runner.setup()
         manager = runner.server
         if manager is None:
-            raise RuntimeError("the application has no server after its set-up")
-        options = _options(limits)
+            raise RuntimeError("the runner has no server after its set-up")
         loop = asyncio.get_running_loop()
-        address = settings.Address.parse(address_text)
         server = await loop.create_server(
-            lambda: _ProblemHandler(manager, loop=loop, **options),
+            lambda: _ProblemHandler(manager, loop=loop, **_options(limits())),
             address.ip,
             address.port,
             ssl=tls,
@@ -87,6 +113,10 @@
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        self._server.close()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._server.close()
--- /dev/null
+++ b/src/sesamehold/platform/published.py
@@ -0,0 +1,272 @@
+"""Items that the operator and the workers publish in the platform's store."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+import cattrs
+
+from sesamehold.platform import names
+from sesamehold.process.gateway import directory_events
+from sesamehold.process.gateway import store_replica
+from sesamehold.process.gateway import targets
+from sesamehold.version import routing
+
+_BYTES_PER_MB = 1_000_000
+_MS_PER_S = 1_000
+
+_KINDS = {
+    "idempotent": routing.RequestKind.IDEMPOTENT,
+    "non_idempotent": routing.RequestKind.NON_IDEMPOTENT,
+    "streaming": routing.RequestKind.STREAMING,
+}
+_STATES = {"ready": False, "draining": True}
+
+
+@attrs.frozen
+class _Share:
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class _Stage:
+    service: str
+    after: list[int] = attrs.field(factory=list)
+    bytes: float = 0.0
+
+
+@attrs.frozen
+class _Route:
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeoutMs: float  # noqa: N815
+    aimMs: float = 0.0  # noqa: N815
+    priority: int = 0
+    service: str = ""
+    split: list[_Share] = attrs.field(factory=list)
+    attempts: int = 1
+    stages: list[_Stage] = attrs.field(factory=list)
+    anonymous: bool = False
+    resumable: bool = False
+    gapAimMs: float = 0.0  # noqa: N815
+
+
+@attrs.frozen
+class _Pieces:
+    # Not the pieces of a request, but how a worker of a stage's service runs its calls.
+    slots: int
+    batch: int
+    callMs: float  # noqa: N815
+    itemMs: float  # noqa: N815
+    roomMb: float  # noqa: N815
+    handleS: float  # noqa: N815
+    queue: int = 0
+
+
+@attrs.frozen
+class _Engine:
+    slots: int
+    cacheTokens: int  # noqa: N815
+
+
+@attrs.frozen
+class _Service:
+    name: str
+    connectionLimit: int = 1_000  # noqa: N815
+    coldPerS: float = 0.0  # noqa: N815
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+@attrs.frozen
+class _Limits:
+    headerBytes: int = 16_384  # noqa: N815
+    bodyBytes: int = 4_194_304  # noqa: N815
+    headerMs: int = 3_000  # noqa: N815
+    idleMs: int = 15_000  # noqa: N815
+
+
+@attrs.frozen
+class _Tenant:
+    name: str
+    keys: list[str] = attrs.field(factory=list)
+    priority: int | None = None
+
+
+@attrs.frozen
+class _Configuration:
+    version: int
+    routes: list[_Route] = attrs.field(factory=list)
+    services: list[_Service] = attrs.field(factory=list)
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+@attrs.frozen
+class _Worker:
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    coldRemainingMs: float = 0.0  # noqa: N815
+    born: int = 0
+
+
+_CONVERTER = cattrs.Converter()
+
+
+def decode(
+    item: store_replica.StoreItem, now_ms: int
+) -> tuple[directory_events.DirectoryEvent, ...]:
+    """Returns what an item of the store says.
+
+    Args:
+        item: The item.
+        now_ms: Monotonic time, for figures that the item gives relative to now.
+    """
+    key = item.key
+    if key.startswith(names.TARGET_KEYS):
+        return _target_events(key.removeprefix(names.TARGET_KEYS), item, now_ms)
+    if key.startswith(names.EVACUATION_KEYS):
+        zone = key.removeprefix(names.EVACUATION_KEYS)
+        if item.value is None:
+            return (directory_events.ZoneBroughtBack(zone),)
+        return (directory_events.ZoneTakenOut(zone),)
+    if key == names.CONFIGURATION_KEY and item.value is not None:
+        return _configuration_events(item)
+    return ()
+
+
+def _configuration_events(
+    item: store_replica.StoreItem,
+) -> tuple[directory_events.DirectoryEvent, ...]:
+    try:
+        document = json.loads(item.value or b"")
+        wire = _CONVERTER.structure(document, _Configuration)
+        return (directory_events.ConfigurationPublished(_table(wire)),)
+    except cattrs.BaseValidationError as error:
+        reason = "; ".join(cattrs.transform_error(error)[:3])
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        reason = f"{type(error).__name__}: {error}"
+    return (directory_events.Unreadable(item.key, reason),)
+
+
+def _target_events(
+    target_id: str, item: store_replica.StoreItem, now_ms: int
+) -> tuple[directory_events.DirectoryEvent, ...]:
+    withdrawn = directory_events.TargetWithdrawn(target_id)
+    if item.value is None:
+        return (withdrawn,)
+    try:
+        document = json.loads(item.value)
+        _check_types(document)
+        wire = _CONVERTER.structure(document, _Worker)
+        draining = _STATES[wire.state]
+    except cattrs.BaseValidationError as error:
+        reason = "; ".join(cattrs.transform_error(error)[:3])
+        return (withdrawn, directory_events.Unreadable(item.key, reason))
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        return (withdrawn, directory_events.Unreadable(item.key, reason))
+    target = targets.Target(
+        target_id=target_id,
+        born_ms=wire.born,
+        service=wire.service,
+        address=wire.address,
+        zone=wire.zone,
+        slots=wire.slots,
+        draining=draining,
+        cold_until_ms=now_ms + int(wire.coldRemainingMs) if wire.coldRemainingMs > 0 else 0,
+    )
+    return (directory_events.TargetPublished(target),)
+
+
+def _check_types(document: Any) -> None:
+    # The converter turns numbers into texts and texts into numbers where it can.
+    if not isinstance(document, dict):
+        raise TypeError("not an object")
+    for name in ("service", "address", "zone", "state"):
+        if not isinstance(document.get(name), str):
+            raise TypeError(f"{name} is not a text")
+    for name in ("slots", "coldRemainingMs", "born"):
+        value = document.get(name, 0)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise TypeError(f"{name} is not a number")
+    ip, separator, port = document["address"].rpartition(":")
+    if not separator or not ip or not port.isdigit():
+        raise ValueError("address is not ip:port")
+
+
+def _table(wire: _Configuration) -> routing.RoutingTable:
+    tenants = wire.tenants or []
+    accounts = {
+        key: routing.RoutedAccount(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.keys
+    }
+    limits = routing.IngressLimits(
+        header_size_bytes=wire.limits.headerBytes,
+        body_size_bytes=wire.limits.bodyBytes,
+        header_ms=wire.limits.headerMs,
+        idle_ms=wire.limits.idleMs,
+    )
+    return routing.RoutingTable.from_parts(
+        version=wire.version,
+        routes=tuple(_route(route) for route in wire.routes),
+        services=tuple(_service(service) for service in wire.services),
+        accounts_by_key=accounts,
+        requires_key=wire.tenants is not None,
+        limits=limits,
+    )
+
+
+def _route(wire: _Route) -> routing.Route:
+    shares = tuple(routing.ServiceShare(part.service, part.weight) for part in wire.split)
+    return routing.Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=_KINDS[wire.kind],
+        timeout_ms=int(wire.timeoutMs),
+        aim_ms=int(wire.aimMs),
+        priority=wire.priority,
+        services=shares or (routing.ServiceShare(wire.service),),
+        attempts=wire.attempts,
+        stages=tuple(
+            routing.Stage(stage.service, tuple(stage.after), int(stage.bytes))
+            for stage in wire.stages
+        ),
+        anonymous=wire.anonymous,
+        resumable=wire.resumable,
+        gap_aim_ms=int(wire.gapAimMs),
+    )
+
+
+def _service(wire: _Service) -> routing.Service:
+    stage_pool = None
+    if wire.pieces is not None:
+        stage_pool = routing.StagePool(
+            slots=wire.pieces.slots,
+            queue_limit=wire.pieces.queue,
+            batch_size=wire.pieces.batch,
+            call_ms=wire.pieces.callMs,
+            piece_ms=wire.pieces.itemMs,
+            room_bytes=int(wire.pieces.roomMb * _BYTES_PER_MB),
+            retention_ms=int(wire.pieces.handleS * _MS_PER_S),
+        )
+    engine = None
+    if wire.engine is not None:
+        engine = routing.EnginePool(wire.engine.slots, wire.engine.cacheTokens)
+    return routing.Service(
+        name=wire.name,
+        connection_limit=wire.connectionLimit,
+        cold_rate_per_s=wire.coldPerS,
+        stage_pool=stage_pool,
+        engine=engine,
+    )
--- /dev/null
+++ b/src/sesamehold/platform/stage_calls.py
@@ -0,0 +1,67 @@
+"""Calls to the platform's workers that do pieces of stages."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import json
+from typing import Any
+
+import attrs
+
+from sesamehold.platform import names
+from sesamehold.process.gateway import targets
+from sesamehold.request.gateway import ports
+
+
+@attrs.frozen
+class PlatformStageCalls:
+    """Codec of calls for pieces."""
+
+    def run_call(self, target: targets.Target, pieces: Sequence[ports.PieceOrder]) -> bytes:
+        """Returns the request that does pieces."""
+        return _call(target, names.STAGE_RUN_PATH, {"items": [_piece(piece) for piece in pieces]})
+
+    def results(self, body: bytes, piece_count: int) -> list[ports.PieceResult] | None:
+        """Decodes the results, None if they cannot be read."""
+        try:
+            items = json.loads(body)["items"]
+            results = [
+                ports.PieceResult(item.get("handle"), item.get("reason", "")) for item in items
+            ]
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return None
+        return results if len(results) == piece_count else None
+
+    def free_call(self, target: targets.Target, handles: Sequence[str]) -> bytes:
+        """Returns the request that frees results."""
+        return _call(target, names.STAGE_FREE_PATH, {"handles": list(handles)})
+
+    def maker_address(self, handle: str) -> str:
+        """Returns the address of the worker that holds a result."""
+        return handle.partition("/")[0]
+
+
+def _piece(piece: ports.PieceOrder) -> dict[str, Any]:
+    item: dict[str, Any] = {
+        "id": piece.request_id,
+        "stage": piece.stage_index,
+        "piece": piece.piece_index,
+        "remainingMs": piece.remaining_ms,
+    }
+    if piece.piece_key is not None:
+        item["key"] = piece.piece_key
+    else:
+        item["inputs"] = list(piece.inputs)
+    return item
+
+
+def _call(target: targets.Target, path: str, document: dict[str, Any]) -> bytes:
+    body = json.dumps(document, separators=(",", ":")).encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\n"
+        f"Host: {target.address}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Expect-Instance: {target.target_id}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/src/sesamehold/platform/store.py
@@ -0,0 +1,150 @@
+"""Client of the platform's metadata store, which this system only reads."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any
+
+import aiohttp
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sesamehold.platform import names
+from sesamehold.platform import published
+from sesamehold.process import settings
+from sesamehold.process.gateway import directory_events
+from sesamehold.process.gateway import store_replica
+
+# The store answers in milliseconds; slowed down sixtyfold it takes 240 ms.
+READ_TIMEOUT_S = 1.0
+_MS_PER_S = 1_000
+_STATUS_GONE = 410
+
+
+@attrs.define(eq=False)
+class PlatformStore:
+    """Reads and watches the store."""
+
+    _base_url: str
+    _session: aiohttp.ClientSession
+
+    @classmethod
+    def from_config(cls, address: settings.Address) -> PlatformStore:
+        """Returns a client; must be called with a running event loop."""
+        session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        return cls(f"http://{address}", session)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    def prefixes(self) -> tuple[str, ...]:
+        """Returns the prefixes that the operator and the workers write below."""
+        return (names.OPERATOR_KEYS, names.TARGET_KEYS)
+
+    def decode(
+        self, item: store_replica.StoreItem, now_ms: int
+    ) -> tuple[directory_events.DirectoryEvent, ...]:
+        """Returns what an item says."""
+        return published.decode(item, now_ms)
+
+    async def list_items(
+        self, prefix: str
+    ) -> Result[store_replica.StoreListing, directory_events.StoreUnavailable]:
+        """Reads all pages below a prefix.
+
+        Pages are read one after the other, so changes may be missing from the first page on.
+        """
+        items: list[store_replica.StoreItem] = []
+        revision: int | None = None
+        parameters = {"prefix": prefix}
+        while True:
+            match await self._get(names.STORE_RANGE_PATH, parameters, READ_TIMEOUT_S):
+                case Result(tag="ok", ok=document):
+                    pass
+                case Result(error=unavailable):
+                    return Error(unavailable)
+            try:
+                page = [_item(entry) for entry in document["items"]]
+                page_revision = int(document["storeRevision"])
+            except _MALFORMED as error:
+                return Error(_malformed(error))
+            revision = page_revision if revision is None else min(revision, page_revision)
+            items += page
+            if not document.get("truncated") or not page:
+                return Ok(store_replica.StoreListing(tuple(items), revision))
+            parameters = {"prefix": prefix, "after": page[-1].key}
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: int
+    ) -> Result[
+        store_replica.StoreListing,
+        directory_events.StoreUnavailable | directory_events.HistoryLost,
+    ]:
+        """Waits up to `wait_ms` for changes after a revision."""
+        parameters = {
+            "prefix": prefix,
+            "after": str(after_revision),
+            "waitMs": str(wait_ms),
+        }
+        timeout_s = READ_TIMEOUT_S + wait_ms / _MS_PER_S
+        match await self._get(names.STORE_WATCH_PATH, parameters, timeout_s):
+            case Result(tag="ok", ok=document):
+                pass
+            case Result(error=unavailable):
+                if unavailable.reason == f"status {_STATUS_GONE}":
+                    return Error(directory_events.HistoryLost())
+                return Error(unavailable)
+        try:
+            items = tuple(_item(entry) for entry in document["events"])
+            revision = int(document["storeRevision"])
+        except _MALFORMED as error:
+            return Error(_malformed(error))
+        return Ok(store_replica.StoreListing(items, revision))
+
+    async def _get(
+        self, path: str, parameters: dict[str, str], timeout_s: float
+    ) -> Result[dict[str, Any], directory_events.StoreUnavailable]:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.get(
+                self._base_url + path, params=parameters, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    reason = f"status {response.status}"
+                    return Error(directory_events.StoreUnavailable(reason))
+                document = json.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            return Error(directory_events.StoreUnavailable(type(error).__name__))
+        except (ValueError, RecursionError) as error:
+            return Error(_malformed(error))
+        if not isinstance(document, dict):
+            return Error(directory_events.StoreUnavailable("malformed answer: not an object"))
+        return Ok(document)
+
+
+_MALFORMED = (KeyError, ValueError, TypeError, AttributeError)
+
+
+def _malformed(error: Exception) -> directory_events.StoreUnavailable:
+    return directory_events.StoreUnavailable(f"malformed answer: {type(error).__name__}")
+
+
+def _item(entry: dict[str, Any]) -> store_replica.StoreItem:
+    key = entry["key"]
+    revision = int(entry["revision"])
+    if entry.get("tombstone"):
+        return store_replica.StoreItem(key, None, revision)
+    return store_replica.StoreItem(key, _value(entry["value"]), revision)
+
+
+def _value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except binascii.Error:
+        # The entry was written by somebody else; its key is reported as unreadable.
+        return text.encode()
--- /dev/null
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -0,0 +1,235 @@
+"""One gateway process: connects its state with sockets, timers and signals."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+import signal
+from typing import Any
+
+from aiohttp import web
+import aiomisc
+import attrs
+from expression import Result
+
+from sesamehold.connection import http_listener
+from sesamehold.connection.gateway import ingress
+from sesamehold.connection.gateway import target_pool
+from sesamehold.process import clock as clocks
+from sesamehold.process import pause
+from sesamehold.process import settings
+from sesamehold.process.gateway import decision_log
+from sesamehold.process.gateway import directory_events
+from sesamehold.process.gateway import directory_follower
+from sesamehold.process.gateway import settings as gateway_settings
+from sesamehold.process.gateway import stage_pool
+from sesamehold.process.gateway import state as states
+from sesamehold.request.gateway import ports
+from sesamehold.request.gateway import relay
+
+TICK_S = 0.1
+# The balancer asks once a second and takes a host out after two refusals; it may still send for
+# this long after a stop begins.
+BALANCER_LAG_MS = 2_600
+# Time before the kill that is left for closing.
+CLOSE_RESERVE_MS = 400
+# Idle connections are kept a little longer than callers use them.
+IDLE_MARGIN_MS = 2_000
+_MS_PER_S = 1_000
+
+ReloadResult = Result[gateway_settings.GatewaySettings, gateway_settings.SettingsFault]
+
+
+@attrs.frozen
+class Adapter:
+    """Formats of the surroundings that a gateway runs in.
+
+    Attributes:
+        source: Configuration store.
+        requests: Headers of requests and answers.
+        stages: Calls to the targets of stages.
+        reload: Reads the settings again.
+        close: Closes the connections of the adapter.
+    """
+
+    source: directory_events.DirectorySource
+    requests: ports.RequestCodec
+    stages: ports.StageCodec
+    reload: Callable[[], ReloadResult]
+    close: Callable[[], Coroutine[Any, Any, None]]
+
+
+@attrs.define(eq=False)
+class GatewayDaemon:
+    """Runs one gateway until it has drained."""
+
+    state: states.GatewayState
+    _adapter: Adapter
+    _output: decision_log.BoundedOutput
+    _client: target_pool.TargetPool
+    _stages: stage_pool.StagePool
+    _follower: directory_follower.DirectoryFollower
+    _pause: pause.PauseDetector
+    _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
+
+    @classmethod
+    def from_config(
+        cls,
+        config: gateway_settings.GatewaySettings,
+        adapter: Adapter,
+        output: decision_log.BoundedOutput,
+    ) -> GatewayDaemon:
+        """Builds all parts; must be called with a running event loop."""
+        clock = clocks.SystemClock()
+        rng = random.Random(f"{config.peer_address}:{clock.wall_ms()}")
+        state = states.GatewayState.from_config(config, clock, rng)
+        client = target_pool.TargetPool(adapter.requests, clock)
+        return cls(
+            state=state,
+            adapter=adapter,
+            output=output,
+            client=client,
+            stages=stage_pool.StagePool(state, client, adapter.stages),
+            follower=directory_follower.DirectoryFollower(state, adapter.source),
+            pause=pause.PauseDetector(clock),
+        )
+
+    async def run(self) -> None:
+        """Serves until a graceful shutdown has ended."""
+        await self._listen()
+        self._tasks += [
+            asyncio.create_task(self._follower.follow(prefix))
+            for prefix in self._adapter.source.prefixes()
+        ]
+        self._tasks.append(asyncio.create_task(self._tick()))
+        config = self.state.config
+        self.state.log.write("process.started", host=config.host_id, zone=config.zone)
+        await self._stopped.wait()
+        await self._close()
+
+    def start_drain(self) -> None:
+        """Leaves the balancer, finishes what runs and stops."""
+        if self.state.stopping:
+            return
+        self.state.stopping = True
+        self.state.log.write("process.draining", open_requests=self.state.open_requests)
+        self._tasks.append(asyncio.create_task(self._drain()))
+
+    def reload(self) -> None:
+        """Reads the settings again; the old ones stay if the new ones cannot be used."""
+        match self._adapter.reload():
+            case Result(tag="ok", ok=config):
+                self.state.reload(config)
+                self.state.log.write("process.reloaded", seeds=len(config.seeds))
+            case Result(error=fault):
+                self.state.log.write("process.reload-failed", fault=str(fault))
+
+    # ---- tasks ---------------------------------------------------------------------------------
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            paused_ms = self._pause.tick()
+            if paused_ms:
+                self.state.hosts.on_pause(paused_ms)
+                self.state.log.write("process.paused", paused_ms=paused_ms)
+            self._client.close_idle()
+            self.state.measures.dropped_log_lines.set(self._output.dropped_count)
+
+    async def _drain(self) -> None:
+        clock = self.state.clock
+        started_ms = clock.now_ms()
+        end_ms = started_ms + self.state.config.bounds.grace_ms - CLOSE_RESERVE_MS
+        while clock.now_ms() < end_ms:
+            open_work = self.state.open_requests + len(self._stages)
+            if not open_work and clock.now_ms() - started_ms >= BALANCER_LAG_MS:
+                break
+            await asyncio.sleep(TICK_S)
+        self._stopped.set()
+
+    # ---- interfaces ----------------------------------------------------------------------------
+
+    async def _listen(self) -> None:
+        config = self.state.config
+        parts = relay.RelayParts(self.state, self._adapter.requests, self._client, self._stages)
+        callers = ingress.Ingress(parts)
+
+        def limits() -> settings.CallerLimits:
+            current = callers.limits
+            return settings.CallerLimits(
+                header_size_bytes=current.header_size_bytes,
+                idle_ms=current.idle_ms + IDLE_MARGIN_MS,
+            )
+
+        serve = http_listener.HttpListener.serve
+        # Readiness comes first, so that the balancer learns early that this host is not ready.
+        readiness = web.Server(self._readiness)
+        metrics = web.Server(self._metrics)
+        self._listeners = [
+            await serve(readiness, config.readiness_address, settings.CallerLimits),
+            await serve(callers.server(), config.ingress_address, limits),
+            await serve(metrics, config.metrics_address, settings.CallerLimits),
+        ]
+
+    async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        del request
+        return web.Response(status=200 if self.state.is_ready() else 503)
+
+    async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        del request
+        return web.Response(body=self.state.measures.exposition(), content_type="text/plain")
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for listener in self._listeners:
+            listener.stop_accepting()
+        await self._stages.close()
+        for listener in self._listeners:
+            await listener.close()
+        self._client.close()
+        await self._adapter.close()
+        self.state.log.write("process.stopped", open_requests=self.state.open_requests)
+        self._output.flush()
+
+
+class GatewayService(aiomisc.Service):
+    """Runs a `GatewayDaemon` as an aiomisc service."""
+
+    config: gateway_settings.GatewaySettings
+    make_adapter: Callable[[], Adapter]
+    output: decision_log.BoundedOutput
+    finished: asyncio.Event
+
+    async def start(self) -> None:
+        """Serves; SIGTERM begins a graceful shutdown, SIGHUP reads the settings again."""
+        daemon = GatewayDaemon.from_config(self.config, self.make_adapter(), self.output)
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, daemon.start_drain)
+        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+        self.start_event.set()
+        try:
+            await daemon.run()
+        finally:
+            self.finished.set()
+
+
+async def run(
+    config: gateway_settings.GatewaySettings,
+    make_adapter: Callable[[], Adapter],
+    output: decision_log.BoundedOutput,
+) -> None:
+    """Runs one gateway process until it has drained."""
+    finished = asyncio.Event()
+    service = GatewayService(
+        config=config, make_adapter=make_adapter, output=output, finished=finished
+    )
+    # Entered as an asynchronous context, so that aiomisc creates no thread pool.
+    async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
+        await finished.wait()
--- /dev/null
+++ b/src/sesamehold/process/gateway/hosts.py
@@ -0,0 +1,162 @@
+"""Other hosts of the fleet, learned by gossip from a few seeds.
+
+Every host counts beats and passes the highest count that it knows of each host on. A host is alive
+while its count grows; no roster is needed, so hosts may come and go without an operator.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+
+import attrs
+
+# Beats and their spread.
+BEAT_MS = 400
+FANOUT = 3
+# A host whose count has not grown for this long is not alive; about four beats and their spread.
+SILENCE_MS = 2_000
+# Hosts that have been silent for longer are no longer counted as possibly running.
+FORGET_MS = 60_000
+# Hosts in one datagram of at most 1,200 bytes.
+MAX_ENTRIES = 24
+
+
+@attrs.frozen
+class HostBeat:
+    """What is passed on of one host.
+
+    Attributes:
+        address: Peer address, which is the host's identity.
+        incarnation: Unix time of its start in milliseconds.
+        beat: Number of beats since its start.
+        zone: Availability zone.
+        leaving: Whether it is in a graceful shutdown.
+        horizons: Revision of the store up to which it knows all changes, by prefix.
+    """
+
+    address: str
+    incarnation: int
+    beat: int
+    zone: str
+    leaving: bool = False
+    horizons: tuple[int, ...] = ()
+
+
+@attrs.define
+class _Known:
+    beat: HostBeat
+    heard_ms: int
+
+
+@attrs.define(eq=False)
+class HostTable:
+    """Hosts that one host knows of.
+
+    Attributes:
+        own: What this host says of itself.
+    """
+
+    own: HostBeat
+    _rng: random.Random
+    _seeds: set[str]
+    _known: dict[str, _Known] = attrs.field(factory=dict)
+    _avoided_until_ms: dict[str, int] = attrs.field(factory=dict)
+
+    @classmethod
+    def create(
+        cls,
+        address: str,
+        zone: str,
+        incarnation: int,
+        seeds: Iterable[str],
+        rng: random.Random,
+    ) -> HostTable:
+        """Returns the table of a host that knows only seeds."""
+        own = HostBeat(address, incarnation, 0, zone)
+        return cls(own, rng, set(seeds) - {address})
+
+    def add_seeds(self, seeds: Iterable[str]) -> None:
+        """Adds addresses to contact."""
+        self._seeds |= set(seeds) - {self.own.address}
+
+    def beat(self, horizons: tuple[int, ...], now_ms: int) -> list[str]:
+        """Counts one beat; returns the addresses to gossip with."""
+        self.own = attrs.evolve(self.own, beat=self.own.beat + 1, horizons=horizons)
+        alive = self.alive(now_ms)
+        chosen = self._rng.sample(alive, min(FANOUT, len(alive)))
+        # A seed now and then joins parts of the fleet that have lost each other.
+        others = sorted(self._seeds - set(alive))
+        if others and (not alive or self.own.beat % 4 == 1):
+            chosen += [self._rng.choice(others)] if alive else others
+        return chosen
+
+    def leave(self) -> list[str]:
+        """Announces a graceful shutdown; returns the addresses to tell."""
+        self.own = attrs.evolve(self.own, leaving=True, beat=self.own.beat + 1)
+        return list(self._known)
+
+    def entries(self, now_ms: int) -> list[HostBeat]:
+        """Returns what to pass on: this host and a sample of the ones that are alive."""
+        alive = [known.beat for known in self._known.values() if self._fresh(known, now_ms)]
+        sample = self._rng.sample(alive, min(MAX_ENTRIES - 1, len(alive)))
+        return [self.own, *sample]
+
+    def merge(self, beats: Iterable[HostBeat], now_ms: int) -> list[str]:
+        """Takes over what another host passed on; returns the addresses of new hosts."""
+        appeared = []
+        for beat in beats:
+            if beat.address == self.own.address:
+                continue
+            known = self._known.get(beat.address)
+            if known is None:
+                self._known[beat.address] = _Known(beat, now_ms)
+                appeared.append(beat.address)
+            elif (beat.incarnation, beat.beat) > (known.beat.incarnation, known.beat.beat):
+                known.beat = beat
+                known.heard_ms = now_ms
+        return appeared
+
+    def on_pause(self, paused_ms: int) -> None:
+        """Does not count a pause of this process against the others."""
+        for known in self._known.values():
+            known.heard_ms += paused_ms
+
+    def alive(self, now_ms: int) -> list[str]:
+        """Returns the addresses of the other hosts that are alive."""
+        return [address for address, known in self._known.items() if self._fresh(known, now_ms)]
+
+    def avoid(self, address: str, until_ms: int) -> None:
+        """Does not choose a host for shared work until a time, after it failed."""
+        self._avoided_until_ms[address] = until_ms
+
+    def workers(self, now_ms: int) -> list[str]:
+        """Returns the hosts, this one included, that may take shared work."""
+        chosen = [
+            address
+            for address, known in self._known.items()
+            if self._fresh(known, now_ms)
+            and not known.beat.leaving
+            and self._avoided_until_ms.get(address, 0) <= now_ms
+        ]
+        if not self.own.leaving or not chosen:
+            chosen.append(self.own.address)
+        return chosen
+
+    def known_addresses(self, now_ms: int) -> list[str]:
+        """Returns all hosts that may be running, this one included."""
+        for address, known in list(self._known.items()):
+            if now_ms - known.heard_ms > FORGET_MS:
+                del self._known[address]
+        return sorted({self.own.address, *self._known, *self._seeds})
+
+    def horizons(self, now_ms: int) -> dict[str, tuple[int, ...]]:
+        """Returns how much of the store the other live hosts know, by address."""
+        return {
+            address: known.beat.horizons
+            for address, known in self._known.items()
+            if self._fresh(known, now_ms)
+        }
+
+    def _fresh(self, known: _Known, now_ms: int) -> bool:
+        return now_ms - known.heard_ms <= SILENCE_MS
--- /dev/null
+++ b/src/sesamehold/process/gateway/measures.py
@@ -0,0 +1,88 @@
+"""Counters and latency histograms of a gateway process, served as text for scraping."""
+
+from __future__ import annotations
+
+import attrs
+import prometheus_client
+
+# Bounds of the histograms, from a plain request on a near target to the longest deadline.
+_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 6.0, 10.0, 20.0)
+_PIECES = (1, 2, 4, 8, 16, 32, 64, 128)
+
+
+def _registry() -> prometheus_client.CollectorRegistry:
+    return prometheus_client.CollectorRegistry(auto_describe=False)
+
+
+@attrs.define(eq=False)
+class Measures:
+    """Metrics of one process."""
+
+    registry: prometheus_client.CollectorRegistry = attrs.field(factory=_registry)
+    requests: prometheus_client.Counter = attrs.field(init=False)
+    request_seconds: prometheus_client.Histogram = attrs.field(init=False)
+    attempts: prometheus_client.Counter = attrs.field(init=False)
+    attempt_seconds: prometheus_client.Histogram = attrs.field(init=False)
+    stage_seconds: prometheus_client.Histogram = attrs.field(init=False)
+    stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
+    stage_jobs: prometheus_client.Counter = attrs.field(init=False)
+    store_calls: prometheus_client.Counter = attrs.field(init=False)
+    dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        registry = self.registry
+        counter = prometheus_client.Counter
+        histogram = prometheus_client.Histogram
+        self.requests = counter(
+            "sesamehold_requests_total",
+            "Finished requests.",
+            ["route", "outcome"],
+            registry=registry,
+        )
+        self.request_seconds = histogram(
+            "sesamehold_request_duration_seconds",
+            "Time from arrival to the end of the answer.",
+            ["route"],
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.attempts = counter(
+            "sesamehold_attempts_total",
+            "Sends to targets.",
+            ["service", "result"],
+            registry=registry,
+        )
+        self.attempt_seconds = histogram(
+            "sesamehold_attempt_answer_seconds",
+            "Time from the send to the answer or the first event.",
+            ["service"],
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.stage_seconds = histogram(
+            "sesamehold_stages_duration_seconds",
+            "Time for all stages of a request.",
+            ["route"],
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.stage_call_pieces = histogram(
+            "sesamehold_stage_call_pieces",
+            "Pieces of one call to a stage's target.",
+            ["service"],
+            buckets=_PIECES,
+            registry=registry,
+        )
+        self.stage_jobs = counter(
+            "sesamehold_stage_jobs_total", "Stages of requests.", ["outcome"], registry=registry
+        )
+        self.store_calls = counter(
+            "sesamehold_store_calls_total", "Calls to the store.", ["outcome"], registry=registry
+        )
+        self.dropped_log_lines = prometheus_client.Gauge(
+            "sesamehold_dropped_log_lines", "Log lines that were dropped.", registry=registry
+        )
+
+    def exposition(self) -> bytes:
+        """Returns the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/sesamehold/process/gateway/settings.py
@@ -0,0 +1,69 @@
+"""Settings of a gateway process and the figures that its operator holds it to."""
+
+from __future__ import annotations
+
+import attrs
+
+from sesamehold.process import settings
+
+
+@attrs.frozen
+class FleetBounds:
+    """Figures that the operator sets for the whole fleet.
+
+    Attributes:
+        grace_ms: Time between SIGTERM and the kill.
+        retry_ratio: Repeated sends to a service per request for it, over all hosts.
+        retry_window_ms: Window over which repeated sends are summed.
+        retry_extra: Repeated sends of a window that need no requests, over all hosts.
+        relay_bound_ms: Longest time from the making of an event to its delivery.
+        store_silence_ms: Time without an answer of the configuration store after which beliefs
+            about targets count as old.
+    """
+
+    grace_ms: int = 8_000
+    retry_ratio: float = 0.1
+    retry_window_ms: int = 10_000
+    retry_extra: int = 10
+    relay_bound_ms: int = 120
+    store_silence_ms: int = 3_000
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of one gateway process.
+
+    Attributes:
+        host_id: Name of this host in logs.
+        zone: Availability zone of this host.
+        ingress_address: Listens for callers.
+        readiness_address: Answers the balancer whether this host wants new connections.
+        peer_address: Listens for other hosts, TCP and UDP.
+        metrics_address: Serves metrics and the state dump.
+        store_address: Configuration store.
+        seeds: Peer addresses of some hosts, which may be stale or down.
+        core_count: Processor time that this host has, in cores.
+        bounds: Figures for the whole fleet.
+    """
+
+    host_id: str
+    zone: str
+    ingress_address: settings.Address
+    readiness_address: settings.Address
+    peer_address: settings.Address
+    metrics_address: settings.Address
+    store_address: settings.Address
+    seeds: tuple[settings.Address, ...] = ()
+    core_count: float = 1.0
+    bounds: FleetBounds = FleetBounds()
+
+
+@attrs.frozen
+class SettingsFault:
+    """A settings file that cannot be used; `path` names the field."""
+
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}"
