Let the pieces of all hosts wait in one queue at one host

Change: hosts learn of each other by gossip from the seeds; rendezvous hashing picks the host that schedules stages for all; the others hand it whole chains of stages over one gRPC stream each, and move on to the next host when it is silent for 0.6 s. Hosts whose store is out of reach fetch items from others by revision. Ruled out: agreed turns of hosts on each target, which leave calls part empty.

--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,4 @@
 # Needs the packages of the "generate" extra; the generated code is committed.
 generate:
 	cd src && $(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
-	  sesamehold/connection/wire/peer.proto
+	  sesamehold/connection/wire/peer.proto sesamehold/connection/wire/gateway.proto
--- /dev/null
+++ b/src/sesamehold/connection/gateway/peer_service.py
@@ -0,0 +1,144 @@
+"""gRPC service that other gateway processes call."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TypeAlias
+
+import attrs
+from grpclib import exceptions as grpc_exceptions
+from grpclib import server as grpc_server
+
+from sesamehold.connection.gateway import stage_codec
+from sesamehold.connection.gateway import stage_link
+from sesamehold.connection.wire import gateway_grpc
+from sesamehold.connection.wire import gateway_pb2
+from sesamehold.process.gateway import directory_follower
+from sesamehold.process.gateway import store_replica
+from sesamehold.request.gateway import ports
+
+_Stream: TypeAlias = grpc_server.Stream[Any, Any]
+
+
+@attrs.define(eq=False)
+class GatewayPeerService(gateway_grpc.GatewayBase):
+    """Does stages for other hosts, and gives them copies of the store's items."""
+
+    _stages: ports.StageRunner
+    _follower: directory_follower.DirectoryFollower
+
+    async def RunStages(self, stream: _Stream) -> None:  # noqa: N802
+        """Takes orders and reports their outcomes until the other host closes the stream."""
+        session = _StageSession(self._stages, stream)
+        reporter = asyncio.create_task(session.report())
+        try:
+            while (order := await stream.recv_message()) is not None:
+                session.take(order)
+        finally:
+            reporter.cancel()
+            session.close()
+
+    async def FetchReplica(self, stream: _Stream) -> None:  # noqa: N802
+        """Returns the items that the asker lacks."""
+        request = await stream.recv_message()
+        parts = request.parts if request is not None else ()
+        await stream.send_message(replica_reply(self._follower, parts))
+
+
+@attrs.define(eq=False)
+class _StageSession:
+    """Orders of one other host."""
+
+    _stages: ports.StageRunner
+    _stream: _Stream
+    _tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    _held: set[str] = attrs.field(factory=set)
+    _outcomes: list[gateway_pb2.StageOutcome] = attrs.field(factory=list)
+    _news: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def take(self, order: gateway_pb2.StageOrder) -> None:
+        """Starts or drops the work for one request."""
+        match order.WhichOneof("body"):
+            case "run":
+                request = stage_codec.request_from_wire(order.run)
+                self._held.add(request.request_id)
+                self._tasks[request.request_id] = asyncio.create_task(self._run(request))
+                self._news.set()
+            case "release":
+                self._release(order.release)
+
+    async def report(self) -> None:
+        """Sends outcomes at once, and signs of life while there is work."""
+        while True:
+            try:
+                async with asyncio.timeout(stage_link.REPORT_INTERVAL_S):
+                    await self._news.wait()
+            except TimeoutError:
+                if not self._tasks:
+                    continue
+            self._news.clear()
+            outcomes, self._outcomes = self._outcomes, []
+            try:
+                await self._stream.send_message(gateway_pb2.StageReport(outcomes=outcomes))
+            except (grpc_exceptions.StreamTerminatedError, OSError):
+                # The other host is gone; the end of its orders drops its work.
+                return
+
+    def close(self) -> None:
+        """Drops all work and frees all results of the other host."""
+        for request_id in list(self._held):
+            self._release(request_id)
+
+    async def _run(self, request: ports.StageRequest) -> None:
+        outcome = await self._stages.run(request)
+        self._tasks.pop(request.request_id, None)
+        self._outcomes.append(stage_codec.outcome_to_wire(request.request_id, outcome))
+        self._news.set()
+
+    def _release(self, request_id: str) -> None:
+        self._held.discard(request_id)
+        task = self._tasks.pop(request_id, None)
+        if task is not None:
+            task.cancel()
+        self._stages.release(request_id)
+
+
+def replica_reply(
+    follower: directory_follower.DirectoryFollower, known: Any
+) -> gateway_pb2.ReplicaReply:
+    """Returns the items that changed after the horizons that are known.
+
+    Args:
+        follower: Copies of this host.
+        known: Parts with prefix and horizon.
+    """
+    reply = gateway_pb2.ReplicaReply()
+    for part in known:
+        replica = follower.replicas.get(part.prefix)
+        if replica is None or replica.horizon <= part.horizon:
+            continue
+        wire = reply.parts.add(prefix=part.prefix, horizon=replica.horizon)
+        for item in replica.changes_since(part.horizon):
+            wire.items.add(
+                key=item.key,
+                value=item.value or b"",
+                deleted=item.value is None,
+                revision=item.revision,
+            )
+    return reply
+
+
+def apply_reply(
+    follower: directory_follower.DirectoryFollower, reply: gateway_pb2.ReplicaReply
+) -> int:
+    """Takes over the items of a reply; returns their number."""
+    count = 0
+    for part in reply.parts:
+        items = [
+            store_replica.StoreItem(item.key, None if item.deleted else item.value, item.revision)
+            for item in part.items
+        ]
+        count += len(items)
+        follower.merge_from_peer(part.prefix, items, part.horizon)
+    return count
--- /dev/null
+++ b/src/sesamehold/connection/gateway/stage_codec.py
@@ -0,0 +1,82 @@
+"""Stages of requests as messages between gateway processes."""
+
+from __future__ import annotations
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sesamehold.connection.wire import gateway_pb2
+from sesamehold.request.gateway import ports
+
+
+def request_to_wire(request: ports.StageRequest) -> gateway_pb2.StageOrder:
+    """Returns the order to do the stages of a request."""
+    return gateway_pb2.StageOrder(
+        run=gateway_pb2.StageRequest(
+            request_id=request.request_id,
+            piece_key=request.piece_key,
+            stages=[
+                gateway_pb2.StageWork(
+                    index=work.index,
+                    service=work.service,
+                    after=work.after,
+                    piece_count=work.piece_count,
+                    result_size_bytes=work.result_size_bytes,
+                )
+                for work in request.stages
+            ],
+            urgency=request.urgency,
+            aim_ms=request.aim_ms,
+            deadline_ms=request.deadline_ms,
+            preferred_zone=request.preferred_zone,
+        )
+    )
+
+
+def request_from_wire(wire: gateway_pb2.StageRequest) -> ports.StageRequest:
+    """Reads what is to be done."""
+    return ports.StageRequest(
+        request_id=wire.request_id,
+        piece_key=wire.piece_key,
+        stages=tuple(
+            ports.StageWork(
+                index=work.index,
+                service=work.service,
+                after=tuple(work.after),
+                piece_count=work.piece_count,
+                result_size_bytes=work.result_size_bytes,
+            )
+            for work in wire.stages
+        ),
+        urgency=wire.urgency,
+        aim_ms=wire.aim_ms,
+        deadline_ms=wire.deadline_ms,
+        preferred_zone=wire.preferred_zone,
+    )
+
+
+def outcome_to_wire(
+    request_id: str, outcome: Result[ports.StageResults, ports.StageFailure]
+) -> gateway_pb2.StageOutcome:
+    """Returns how the stages of a request ended."""
+    match outcome:
+        case Result(tag="ok", ok=results):
+            return gateway_pb2.StageOutcome(
+                request_id=request_id, handles=results.handles, zone=results.zone
+            )
+        case Result(error=failure):
+            return gateway_pb2.StageOutcome(
+                request_id=request_id,
+                failure=failure.kind,
+                retry_after_ms=failure.retry_after_ms,
+            )
+
+
+def outcome_from_wire(
+    wire: gateway_pb2.StageOutcome,
+) -> Result[ports.StageResults, ports.StageFailure]:
+    """Reads how the stages of a request ended."""
+    if wire.failure:
+        return Error(ports.StageFailure(wire.failure, wire.retry_after_ms))
+    return Ok(ports.StageResults(tuple(wire.handles), wire.zone))
--- /dev/null
+++ b/src/sesamehold/connection/gateway/stage_link.py
@@ -0,0 +1,141 @@
+"""Connection to the host that does the stages of requests for others."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from expression import Error
+from expression import Result
+from grpclib import client as grpc_client
+from grpclib import exceptions as grpc_exceptions
+
+from sesamehold.connection.gateway import stage_codec
+from sesamehold.connection.wire import gateway_grpc
+from sesamehold.connection.wire import gateway_pb2
+from sesamehold.process import settings
+from sesamehold.request.gateway import ports
+
+CONNECT_TIMEOUT_S = 0.4
+# The other side reports every `REPORT_INTERVAL_S` while it has work of this host.
+REPORT_INTERVAL_S = 0.15
+SILENCE_S = 0.6
+
+LOST = "stage-host-lost"
+_BROKEN = (
+    grpc_exceptions.GRPCError,
+    grpc_exceptions.StreamTerminatedError,
+    grpc_exceptions.ProtocolError,
+    OSError,
+    TimeoutError,
+)
+
+_Outcome = Result[ports.StageResults, ports.StageFailure]
+
+
+@attrs.define(eq=False)
+class StageLink:
+    """One stream of orders to one host, and of its reports.
+
+    Attributes:
+        address: Peer address of the host.
+        closed: Whether the host was lost; a new link is needed then.
+    """
+
+    address: str
+    closed: bool = False
+    _orders: asyncio.Queue[gateway_pb2.StageOrder] = attrs.field(factory=asyncio.Queue)
+    _waiters: dict[str, asyncio.Future[_Outcome]] = attrs.field(factory=dict)
+    _task: asyncio.Task[None] | None = None
+    _heard_s: float = 0.0
+
+    async def run(self, request: ports.StageRequest) -> _Outcome:
+        """Has all stages of a request done; fails with `LOST` if the host is lost."""
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[_Outcome] = loop.create_future()
+        if not self._waiters:
+            self._heard_s = loop.time()
+        self._waiters[request.request_id] = waiter
+        self._orders.put_nowait(stage_codec.request_to_wire(request))
+        if self._task is None:
+            self._task = asyncio.create_task(self._serve())
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.release(request.request_id)
+            raise
+        finally:
+            if self._waiters.get(request.request_id) is waiter:
+                del self._waiters[request.request_id]
+
+    def release(self, request_id: str) -> None:
+        """Frees the results of a request, or drops its work."""
+        if not self.closed:
+            self._orders.put_nowait(gateway_pb2.StageOrder(release=request_id))
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _serve(self) -> None:
+        parsed = settings.Address.parse(self.address)
+        channel = grpc_client.Channel(parsed.ip, parsed.port)
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.__connect__()
+            self._heard_s = asyncio.get_running_loop().time()
+            async with gateway_grpc.GatewayStub(channel).RunStages.open() as stream:
+                await stream.send_request()
+                tasks = [
+                    asyncio.create_task(self._send(stream)),
+                    asyncio.create_task(self._receive(stream)),
+                    asyncio.create_task(self._watch()),
+                ]
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                await stream.cancel()
+        except _BROKEN:
+            # The waiters learn of it below.
+            pass
+        finally:
+            self.closed = True
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            channel.close()
+            self._fail_waiters()
+
+    async def _send(
+        self, stream: grpc_client.Stream[gateway_pb2.StageOrder, gateway_pb2.StageReport]
+    ) -> None:
+        while True:
+            await stream.send_message(await self._orders.get())
+
+    async def _receive(
+        self, stream: grpc_client.Stream[gateway_pb2.StageOrder, gateway_pb2.StageReport]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            report = await stream.recv_message()
+            if report is None:
+                return
+            self._heard_s = loop.time()
+            for outcome in report.outcomes:
+                waiter = self._waiters.get(outcome.request_id)
+                if waiter is not None and not waiter.done():
+                    waiter.set_result(stage_codec.outcome_from_wire(outcome))
+
+    async def _watch(self) -> None:
+        """Returns when the host has been silent although it has work of this host."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            if self._waiters and loop.time() - self._heard_s > SILENCE_S:
+                return
+
+    def _fail_waiters(self) -> None:
+        for waiter in list(self._waiters.values()):
+            if not waiter.done():
+                waiter.set_result(Error(ports.StageFailure(LOST, 0)))
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from sesamehold.connection import http_listener
+from sesamehold.connection.gateway import fleet
 from sesamehold.connection.gateway import ingress
 from sesamehold.connection.gateway import target_pool
 from sesamehold.process import clock as clocks
@@ -70,6 +71,7 @@
     _output: decision_log.BoundedOutput
     _client: target_pool.TargetPool
     _stages: stage_pool.StagePool
+    _fleet: fleet.Fleet
     _follower: directory_follower.DirectoryFollower
     _pause: pause.PauseDetector
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -88,24 +90,31 @@
         rng = random.Random(f"{config.peer_address}:{clock.wall_ms()}")
         state = states.GatewayState.from_config(config, clock, rng)
         client = target_pool.TargetPool(adapter.requests, clock)
+        stages = stage_pool.StagePool(state, client, adapter.stages)
+        follower = directory_follower.DirectoryFollower(state, adapter.source)
         return cls(
             state=state,
             adapter=adapter,
             output=output,
             client=client,
-            stages=stage_pool.StagePool(state, client, adapter.stages),
-            follower=directory_follower.DirectoryFollower(state, adapter.source),
+            stages=stages,
+            fleet=fleet.Fleet(state, stages, follower),
+            follower=follower,
             pause=pause.PauseDetector(clock),
         )
 
     async def run(self) -> None:
         """Serves until a graceful shutdown has ended."""
+        await self._fleet.start()
         await self._listen()
         self._tasks += [
             asyncio.create_task(self._follower.follow(prefix))
             for prefix in self._adapter.source.prefixes()
         ]
-        self._tasks.append(asyncio.create_task(self._tick()))
+        self._tasks += [
+            asyncio.create_task(work)
+            for work in (self._tick(), self._fleet.beat(), self._fleet.catch_up())
+        ]
         config = self.state.config
         self.state.log.write("process.started", host=config.host_id, zone=config.zone)
         await self._stopped.wait()
@@ -117,6 +126,7 @@
             return
         self.state.stopping = True
         self.state.log.write("process.draining", open_requests=self.state.open_requests)
+        self._fleet.leave()
         self._tasks.append(asyncio.create_task(self._drain()))
 
     def reload(self) -> None:
@@ -155,7 +165,7 @@
 
     async def _listen(self) -> None:
         config = self.state.config
-        parts = relay.RelayParts(self.state, self._adapter.requests, self._client, self._stages)
+        parts = relay.RelayParts(self.state, self._adapter.requests, self._client, self._fleet)
         callers = ingress.Ingress(parts)
 
         def limits() -> settings.CallerLimits:
@@ -189,6 +199,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for listener in self._listeners:
             listener.stop_accepting()
+        await self._fleet.close()
         await self._stages.close()
         for listener in self._listeners:
             await listener.close()
--- a/src/sesamehold/process/gateway/hosts.py
+++ b/src/sesamehold/process/gateway/hosts.py
@@ -136,6 +136,8 @@
             address
             for address, known in self._known.items()
             if self._fresh(known, now_ms)
+            and known.beat.horizons
+            and all(known.beat.horizons)
             and not known.beat.leaving
             and self._avoided_until_ms.get(address, 0) <= now_ms
         ]
