Keep the scheduler awake, count room until it is freed, send sessions to one engine

Change: the time of the wake-up is kept beside the handle, failed tasks are logged; room counts as free once the target has answered; steps are not split; all hosts prefer the same engine for a session; closing has a time limit.

--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -36,6 +36,7 @@
 BALANCER_LAG_MS = 2_600
 # Time before the kill that is left for closing.
 CLOSE_RESERVE_MS = 400
+CLOSE_TIMEOUT_S = 0.25
 # Idle connections are kept a little longer than callers use them.
 IDLE_MARGIN_MS = 2_000
 _MS_PER_S = 1_000
@@ -194,17 +195,20 @@
         return web.Response(body=self.state.measures.exposition(), content_type="text/plain")
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         for listener in self._listeners:
             listener.stop_accepting()
-        await self._fleet.close()
-        await self._stages.close()
-        for listener in self._listeners:
-            await listener.close()
+        for task in self._tasks:
+            task.cancel()
         self._client.close()
-        await self._adapter.close()
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await asyncio.gather(*self._tasks, return_exceptions=True)
+                await self._fleet.close()
+                await self._stages.close()
+                await self._adapter.close()
+        except TimeoutError:
+            # The kernel closes what is left.
+            self.state.log.write("process.close-timeout")
         self.state.log.write("process.stopped", open_requests=self.state.open_requests)
         self._output.flush()
 
--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -101,6 +101,22 @@
                 steps.append(Step(self, index, stage.work.service, pieces, zone))
         return steps
 
+    @property
+    def open_count(self) -> int:
+        """Returns the number of stages that are not done."""
+        return sum(not stage.done for stage in self._stages.values())
+
+    def open_paths(self) -> list[list[tuple[str, int]]]:
+        """Returns service and piece count along each chain from a stage that can be done now.
+
+        Stages whose pieces are in a call are included.
+        """
+        return [
+            [(stage.work.service, stage.work.piece_count), *self.following_path(index)]
+            for index, stage in self._stages.items()
+            if not stage.done and all(self._stages[needed].done for needed in stage.needs)
+        ]
+
     def result_size_bytes(self, stage_index: int) -> int:
         """Returns the size of the result of one piece."""
         return self._stages[stage_index].work.result_size_bytes
--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -20,7 +20,8 @@
 # Work that arrives within this time shares a call; a round trip between zones takes about 2 ms.
 GATHER_S = 0.004
 FREE_TIMEOUT_S = 1.0
-FREE_DELAY_S = 0.05
+# Results that are freed together share a call.
+FREE_DELAY_S = 0.003
 _MS_PER_S = 1_000
 _STATUS_OK = 200
 
@@ -37,6 +38,7 @@
     _results: dict[str, ports.StageResults] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _pump_handle: asyncio.TimerHandle | None = None
+    _pump_at_s: float = 0.0
     _free_handle: asyncio.TimerHandle | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -98,12 +100,14 @@
 
     def _schedule(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
-        when = loop.time() + delay_s
+        at_s = loop.time() + delay_s
         if self._pump_handle is not None:
-            if not self._pump_handle.cancelled() and self._pump_handle.when() <= when:
+            # The time is kept here because uvloop's handles for "now" do not have one.
+            if self._pump_at_s <= at_s:
                 return
             self._pump_handle.cancel()
-        self._pump_handle = loop.call_at(when, self._pump)
+        self._pump_at_s = at_s
+        self._pump_handle = loop.call_at(at_s, self._pump)
 
     def _pump(self) -> None:
         self._pump_handle = None
@@ -201,6 +205,8 @@
                                 pass
                         finally:
                             answer.release()
+                        self._scheduler.on_freed(target, handles)
+                        self._schedule(0.0)
                     case Result(error=fault):
                         self._log_free(target, fault.kind)
         except (TimeoutError, ports.BrokenAnswerError) as error:
@@ -221,6 +227,8 @@
             requests=sorted({piece.job.request.request_id for piece in call.pieces}),
             duration_ms=now_ms - call.started_ms,
             expected_ms=round(call.expected_ms),
+            waiting=call.waiting_count,
+            held_bytes=call.held_bytes,
             overdue=call.overdue or None,
             **fields,
         )
@@ -228,4 +236,9 @@
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._state.log.write("stage.error", error=repr(task.exception()))
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -37,6 +37,12 @@
 PACE_WEIGHT = 0.3
 RETRY_AFTER_MS = 500
 MIN_WORTHWHILE_MS = 30
+# A target that had less room than expected holds results that another host ordered; most of them
+# are freed within this time.
+FOREIGN_MS = 500
+# Results that nothing but the request itself needs are not made earlier than this before the
+# other stages are expected to end, because they would take up room.
+EARLY_MS = 150
 
 
 @attrs.frozen
@@ -58,6 +64,8 @@
         orders: The same, as sent.
         started_ms: Start of the call.
         expected_ms: Expected time of the call.
+        waiting_count: Steps of the service that wait while the call is formed.
+        held_bytes: Size of the results that lie at the target at its start.
         overdue: Whether its pieces were given to another target, too.
     """
 
@@ -66,6 +74,8 @@
     orders: tuple[ports.PieceOrder, ...]
     started_ms: int
     expected_ms: float
+    waiting_count: int = 0
+    held_bytes: int = 0
     overdue: bool = False
 
     @property
@@ -112,11 +122,15 @@
     avoid_until_ms: int = 0
     # Sizes of results that lie at the target, by handle, with the time at which they are dropped.
     held: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # Room that others' results must take up, because the target had less than is known of.
+    foreign_bytes: int = 0
+    foreign_until_ms: int = 0
 
     def held_bytes(self, now_ms: int) -> int:
         for handle in [h for h, (_, until_ms) in self.held.items() if until_ms <= now_ms]:
             del self.held[handle]
-        return sum(size for size, _ in self.held.values())
+        foreign = self.foreign_bytes if now_ms < self.foreign_until_ms else 0
+        return foreign + sum(size for size, _ in self.held.values())
 
 
 @attrs.define(eq=False)
@@ -145,7 +159,7 @@
         for work in request.stages:
             if work.piece_count and self.pool_of(work.service) is None:
                 return ports.StageFailure("unknown-stage-service", RETRY_AFTER_MS)
-        wait_ms = max((self._wait_ms(step, now_ms) for step in job.ready_steps()), default=0.0)
+        wait_ms = self._chain_wait_ms(job)
         if now_ms + wait_ms + self._path_ms(job) > job.deadline_at_ms:
             return ports.StageFailure("overloaded", max(RETRY_AFTER_MS, int(wait_ms)))
         self._jobs[request.request_id] = job
@@ -163,7 +177,7 @@
         finished = self._drop_hopeless(now_ms)
         by_service: dict[str, list[stage_job.Step]] = collections.defaultdict(list)
         for job in self._jobs.values():
-            for step in job.ready_steps():
+            for step in self._due_steps(job):
                 by_service[step.service].append(step)
         calls = []
         for service, steps in by_service.items():
@@ -184,6 +198,8 @@
     ) -> list[Finished]:
         """Takes over the results of a call; returns the jobs that ended with it."""
         worker = self._end_call(call)
+        if now_ms >= worker.foreign_until_ms:
+            worker.foreign_bytes = 0
         actual_ms = now_ms - call.started_ms
         worker.pace += PACE_WEIGHT * (actual_ms / max(1.0, call.expected_ms) - worker.pace)
         finished = []
@@ -218,6 +234,12 @@
         freed, self._freed = self._freed, {}
         return list(freed.values())
 
+    def on_freed(self, target: targets.Target, handles: Iterable[str]) -> None:
+        """Notes that a target has freed results, so that their room can be used again."""
+        worker = self._worker(target)
+        for handle in handles:
+            worker.held.pop(handle, None)
+
     # ---- planning ------------------------------------------------------------------------------
 
     def _plan_service(self, service: str, steps: list[stage_job.Step], now_ms: int) -> list[Call]:
@@ -242,21 +264,26 @@
             if target is None:
                 continue
             batch = self._batch(step, queue, taken, target, pool, now_ms)
+            # A target without room for anything that waits is asked again when results are freed.
+            del idle[target.target_id]
             if batch:
-                del idle[target.target_id]
-                calls.append(self._start(target, batch, pool, now_ms))
+                calls.append(self._start(target, batch, pool, len(queue), now_ms))
         return calls
 
+    def _slack_ms(self, step: stage_job.Step, pool: routing.StagePool, now_ms: int) -> float:
+        """Returns how long a step may wait without missing the aim of its job."""
+        need_ms = self._step_ms(step, pool) + self._following_ms(step)
+        return step.job.aim_at_ms - need_ms - now_ms
+
     def _order(
         self, step: stage_job.Step, pool: routing.StagePool, now_ms: int
     ) -> tuple[bool, float]:
-        need_ms = self._step_ms(step, pool) + self._following_ms(step)
-        latest_ms = step.job.aim_at_ms - need_ms
-        late = latest_ms < now_ms
+        slack_ms = self._slack_ms(step, pool, now_ms)
+        late = slack_ms < 0
         if late:
             # Nothing is gained by haste; the ones whose deadline is near come first.
-            latest_ms = step.job.deadline_at_ms - need_ms
-        return late, latest_ms + step.job.request.urgency * RANK_SLACK_MS
+            slack_ms += step.job.deadline_at_ms - step.job.aim_at_ms
+        return late, slack_ms + step.job.request.urgency * RANK_SLACK_MS
 
     def _pick_worker(
         self,
@@ -292,31 +319,39 @@
         now_ms: int,
     ) -> list[PieceId]:
         room = pool.room_bytes - self._worker(target).held_bytes(now_ms)
-        batch: list[PieceId] = []
+        chosen: list[stage_job.Step] = []
+        size_count = 0
         for step in itertools.chain((first,), queue):
-            if id(step) in taken or len(batch) >= pool.batch_size:
+            if id(step) in taken or size_count >= pool.batch_size:
+                continue
+            if step is first and chosen:
                 continue
             if step is not first and step.input_zone not in ("", target.zone):
                 continue
             size = step.job.result_size_bytes(step.stage_index)
-            count = min(len(step.pieces), pool.batch_size - len(batch))
-            if size > 0:
-                count = min(count, room // size)
-            if count < len(step.pieces) and batch:
-                # A split step would need two calls; it waits for the next one.
+            # Steps are not split: parts of many steps would take up the room in which one whole
+            # step could be done.
+            count = min(len(step.pieces), pool.batch_size)
+            if size_count + count > pool.batch_size:
                 continue
-            if count <= 0:
+            if size * count > room:
                 continue
             room -= size * count
-            taken.add(id(step))
-            batch += [PieceId(step.job, step.stage_index, piece) for piece in step.pieces[:count]]
-        return batch
+            chosen.append(step)
+            size_count += count
+        taken.update(id(step) for step in chosen)
+        return [
+            PieceId(step.job, step.stage_index, piece)
+            for step in chosen
+            for piece in step.pieces[: pool.batch_size]
+        ]
 
     def _start(
         self,
         target: targets.Target,
         batch: list[PieceId],
         pool: routing.StagePool,
+        waiting_count: int,
         now_ms: int,
     ) -> Call:
         orders = []
@@ -326,7 +361,10 @@
             piece.job.start(piece.stage_index, piece.piece)
         worker = self._worker(target)
         expected_ms = pool.call_time_ms(len(batch)) * max(1.0, worker.pace)
-        call = Call(target, tuple(batch), tuple(orders), now_ms, expected_ms)
+        held_bytes = worker.held_bytes(now_ms)
+        call = Call(
+            target, tuple(batch), tuple(orders), now_ms, expected_ms, waiting_count, held_bytes
+        )
         worker.calls.append(call)
         return call
 
@@ -344,27 +382,57 @@
         return total
 
     def _path_ms(self, job: stage_job.Job) -> float:
+        """Returns the least time that the open stages of a job and the request itself need."""
         longest = 0.0
-        for step in job.ready_steps():
-            pool = self.pool_of(step.service)
-            if pool is not None:
-                longest = max(longest, self._step_ms(step, pool) + self._following_ms(step))
+        for path in job.open_paths():
+            total = float(REQUEST_ALLOWANCE_MS)
+            for service, count in path:
+                pool = self.pool_of(service)
+                if pool is not None:
+                    total += pool.call_time_ms(min(count, pool.batch_size))
+            longest = max(longest, total)
         return longest
 
-    def _wait_ms(self, step: stage_job.Step, now_ms: int) -> float:
-        """Returns the expected wait of a new step behind all pieces that wait now."""
-        pool = self.pool_of(step.service)
+    def _due_steps(self, job: stage_job.Job) -> list[stage_job.Step]:
+        """Returns the steps that should not wait for other stages of the job."""
+        steps = job.ready_steps()
+        if job.open_count < 2:
+            return steps
+        path_ms = self._path_ms(job)
+        due = []
+        for step in steps:
+            pool = self.pool_of(step.service)
+            if pool is None:
+                continue
+            own_ms = self._step_ms(step, pool) + self._following_ms(step)
+            bulky = _is_bulky(pool, job.result_size_bytes(step.stage_index))
+            if not bulky or own_ms + EARLY_MS >= path_ms:
+                due.append(step)
+        return due
+
+    def _chain_wait_ms(self, job: stage_job.Job) -> float:
+        """Returns the expected wait of a new job behind all pieces that wait now."""
+        waits = {
+            service: self._wait_ms(service) for path in job.open_paths() for service, _ in path
+        }
+        return max(
+            (sum(waits[service] for service, _ in path) for path in job.open_paths()),
+            default=0.0,
+        )
+
+    def _wait_ms(self, service: str) -> float:
+        pool = self.pool_of(service)
         if pool is None:
             return 0.0
         waiting = sum(
-            len(other.pieces)
+            len(step.pieces)
             for job in self._jobs.values()
-            for other in job.ready_steps()
-            if other.service == step.service
+            for step in job.ready_steps()
+            if step.service == service
         )
         calls = waiting / pool.batch_size
         work_ms = calls * pool.call_time_ms(pool.batch_size)
-        return work_ms / max(1, len(self.usable(step.service)))
+        return work_ms / max(1, len(self.usable(service)))
 
     # ---- results -------------------------------------------------------------------------------
 
@@ -393,7 +461,8 @@
         if not self._is_open(job):
             return []
         if reason == "room":
-            worker.avoid_until_ms = now_ms + FULL_MS
+            worker.foreign_until_ms = now_ms + FOREIGN_MS
+            worker.foreign_bytes += job.result_size_bytes(piece.stage_index)
         elif reason == "gone":
             self._free(job.redo_inputs(piece.stage_index))
         elif reason == "late":
@@ -407,9 +476,6 @@
 
     def _free(self, results: Iterable[stage_job.Made]) -> None:
         for made in results:
-            worker = self._workers.get(made.target.target_id)
-            if worker is not None:
-                worker.held.pop(made.handle, None)
             entry = self._freed.setdefault(made.target.target_id, (made.target, []))
             entry[1].append(made.handle)
 
@@ -447,3 +513,8 @@
         if worker is None or worker.incarnation != target.incarnation:
             worker = self._workers[target.target_id] = _Worker(target.incarnation)
         return worker
+
+
+def _is_bulky(pool: routing.StagePool, result_size_bytes: int) -> bool:
+    """Returns whether two calls with such results need more room than a target has."""
+    return 2 * pool.batch_size * result_size_bytes > pool.room_bytes
--- a/src/sesamehold/process/gateway/target_choice.py
+++ b/src/sesamehold/process/gateway/target_choice.py
@@ -26,12 +26,12 @@
 OTHER_ZONE_MS = 4.0
 # Fetching stage results from another zone occupies links and is priced by size.
 OTHER_ZONE_INPUT_MS_PER_MB = 40.0
-# Reading a prompt part that is not cached.
-MISS_MS_PER_TOKEN = 0.02
+# Reading a prompt that another engine has cached takes its time, and work that is paid for.
+MISS_MS = 150.0
+MISS_MS_PER_TOKEN = 0.05
 # Requests of this host that run on an engine stand for those of the other hosts, too.
 ENGINE_LOAD_MS = 6.0
 INITIAL_LATENCY_MS = 50.0
-MAX_SESSIONS = 20_000
 
 
 @attrs.define
@@ -58,14 +58,14 @@
     """What makes one engine better than another for a request.
 
     Attributes:
-        session_id: Identity of the prompt's own part; engines keep what they have read of it.
-        session_tokens: Size of the parts that may be cached.
+        session_id: Identity of the prompt's last part; engines keep what they have read of it.
+        cached_tokens: Size of the parts that may be cached.
         input_zone: Availability zone of the stage results, empty if there are none.
         input_size_bytes: Size of the stage results.
     """
 
     session_id: str | None
-    session_tokens: int = 0
+    cached_tokens: int = 0
     input_zone: str = ""
     input_size_bytes: int = 0
 
@@ -80,7 +80,6 @@
 
     zone: str
     _outlooks: dict[str, _Outlook] = attrs.field(factory=dict)
-    _sessions: dict[str, str] = attrs.field(factory=dict)
 
     def rank_plain(self, candidates: Iterable[targets.Target], now_ms: int) -> list[targets.Target]:
         """Returns targets of a plain service, the one with the shortest expected time first."""
@@ -94,8 +93,8 @@
 
         def cost(target: targets.Target, outlook: _Outlook, now_ms: int) -> float:
             cost_ms = outlook.latency_ms + outlook.running * ENGINE_LOAD_MS
-            if target.target_id != home:
-                cost_ms += needs.session_tokens * MISS_MS_PER_TOKEN
+            if home is not None and target.target_id != home:
+                cost_ms += MISS_MS + needs.cached_tokens * MISS_MS_PER_TOKEN
             if needs.input_zone and needs.input_zone != target.zone:
                 cost_ms += needs.input_size_bytes / 1e6 * OTHER_ZONE_INPUT_MS_PER_MB
             if target.zone != self.zone:
@@ -107,22 +106,14 @@
     def session_home(
         self, candidates: Collection[targets.Target], session_id: str | None
     ) -> str | None:
-        """Returns the engine that most likely has a session's prompt in its cache."""
+        """Returns the engine that all hosts prefer for a session, so that it caches its prompt."""
         if session_id is None:
             return None
-        ids = [target.target_id for target in candidates]
-        known = self._sessions.get(session_id)
-        # Hosts that have not seen the session agree on one engine without a message.
-        return known if known in ids else rendezvous.owner(ids, session_id)
+        return rendezvous.owner([target.target_id for target in candidates], session_id)
 
-    def record_start(self, target: targets.Target, session_id: str | None = None) -> None:
+    def record_start(self, target: targets.Target) -> None:
         """Notes that an attempt starts."""
         self._outlook(target).running += 1
-        if session_id is not None:
-            self._sessions.pop(session_id, None)
-            self._sessions[session_id] = target.target_id
-            if len(self._sessions) > MAX_SESSIONS:
-                del self._sessions[next(iter(self._sessions))]
 
     def record_end(self, target: targets.Target) -> None:
         """Notes that an attempt has ended."""
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -40,11 +40,6 @@
     output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
-    @property
-    def session_id(self) -> str | None:
-        """Returns the identity of the last part, None if the prompt has no parts."""
-        return self.parts[-1].part_id if self.parts else None
-
 
 @attrs.frozen
 class RequestHead:
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -84,6 +84,8 @@
     _fallback: _Held | None = None
     _tried: set[str] = attrs.field(factory=set)
     _in_flight: bool = False
+    _stages_ms: int | None = None
+    _answer_ms: int | None = None
     _outcome: str = ""
 
     @property
@@ -193,7 +195,8 @@
         match await self._parts.stages.run(request):
             case Result(tag="ok", ok=results):
                 self._results = results
-                seconds = (self._now_ms() - now_ms) / _MS_PER_S
+                self._stages_ms = self._now_ms() - now_ms
+                seconds = self._stages_ms / _MS_PER_S
                 self._parts.state.measures.stage_seconds.labels(self._route.name).observe(seconds)
                 return True
             case Result(error=failure):
@@ -209,9 +212,8 @@
             return ""
         state = self._parts.state
         engines = state.directory.usable(self._service)
-        home = state.choice.session_home(engines, prompt.session_id)
-        target = state.directory.find(home) if home is not None else None
-        return target.zone if target is not None else ""
+        ranked = state.choice.rank_engines(engines, _needs_of(prompt), self._now_ms())
+        return ranked[0].zone if ranked else ""
 
     # ---- choice of the target ------------------------------------------------------------------
 
@@ -237,9 +239,8 @@
             ranked = state.choice.rank_plain(candidates, now_ms)
         else:
             results = self._results
-            needs = target_choice.EngineNeeds(
-                session_id=prompt.session_id,
-                session_tokens=sum(part.token_count for part in prompt.parts),
+            needs = attrs.evolve(
+                _needs_of(prompt),
                 input_zone=results.zone if results is not None else "",
                 input_size_bytes=self._input_size_bytes(),
             )
@@ -264,8 +265,7 @@
         state = self._parts.state
         started_ms = self._now_ms()
         self._tried.add(target.incarnation)
-        prompt = self._incoming.head.prompt
-        state.choice.record_start(target, prompt.session_id if prompt is not None else None)
+        state.choice.record_start(target)
         self._in_flight = True
         try:
             result = await self._exchange(target, started_ms)
@@ -515,7 +515,8 @@
     def _note_success(self, target: targets.Target, started_ms: int) -> None:
         state = self._parts.state
         now_ms = self._now_ms()
-        state.choice.record_latency(target, now_ms - started_ms)
+        self._answer_ms = now_ms - started_ms
+        state.choice.record_latency(target, self._answer_ms)
         state.suspects.record_success(self._fingerprint(), "", now_ms)
         seconds = (now_ms - started_ms) / _MS_PER_S
         state.measures.attempt_seconds.labels(self._service).observe(seconds)
@@ -536,7 +537,10 @@
             "request.finished",
             outcome=self._outcome,
             duration_ms=duration_ms,
+            stages_ms=self._stages_ms,
+            answer_ms=self._answer_ms,
             targets=sorted(self._tried),
+            zone=self._results.zone if self._results is not None else None,
             runs=self._attempts.runs,
             rejected=self._attempts.rejected,
         )
@@ -561,6 +565,13 @@
         return self._parts.state.clock.now_ms()
 
 
+def _needs_of(prompt: messages.Prompt) -> target_choice.EngineNeeds:
+    return target_choice.EngineNeeds(
+        session_id=prompt.parts[-1].part_id if prompt.parts else None,
+        cached_tokens=sum(part.token_count for part in prompt.parts),
+    )
+
+
 @attrs.frozen
 class _Held:
     """A target's complete answer that is passed on if no better one comes."""
