Choose engines by the shared part of a prompt; order stages by rank and engine time

Change: the last shared part chooses the engine; hosts learn the time of each route's requests and send it along; less urgent ranks wait 400 ms longer.

--- a/src/sesamehold/connection/gateway/stage_codec.py
+++ b/src/sesamehold/connection/gateway/stage_codec.py
@@ -30,6 +30,7 @@
             aim_ms=request.aim_ms,
             deadline_ms=request.deadline_ms,
             preferred_zone=request.preferred_zone,
+            request_ms=request.request_ms,
         )
     )
 
@@ -53,6 +54,7 @@
         aim_ms=wire.aim_ms,
         deadline_ms=wire.deadline_ms,
         preferred_zone=wire.preferred_zone,
+        request_ms=wire.request_ms,
     )
 
 
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -18,12 +18,10 @@
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
 
-# Time that the request itself needs after its stages: connection, prompt and first event.
-REQUEST_ALLOWANCE_MS = 150
 # Largest wait for a target in the zone of the inputs while one elsewhere is free.
 ZONE_WAIT_MS = 120
 # Requests of a less urgent rank count as if they had this much more time.
-RANK_SLACK_MS = 150
+RANK_SLACK_MS = 400
 # A call that takes longer than expected by this factor and time is given to another target, too.
 OVERDUE_FACTOR = 1.5
 OVERDUE_EXTRA_MS = 150
@@ -374,7 +372,7 @@
         return pool.call_time_ms(min(len(step.pieces), pool.batch_size))
 
     def _following_ms(self, step: stage_job.Step) -> float:
-        total = float(REQUEST_ALLOWANCE_MS)
+        total = float(step.job.request.request_ms)
         for service, count in step.job.following_path(step.stage_index):
             pool = self.pool_of(service)
             if pool is not None:
@@ -385,7 +383,7 @@
         """Returns the least time that the open stages of a job and the request itself need."""
         longest = 0.0
         for path in job.open_paths():
-            total = float(REQUEST_ALLOWANCE_MS)
+            total = float(job.request.request_ms)
             for service, count in path:
                 pool = self.pool_of(service)
                 if pool is not None:
@@ -495,7 +493,7 @@
             if job.done:
                 continue
             need_ms = max(self._path_ms(job), MIN_WORTHWHILE_MS)
-            if now_ms + need_ms - REQUEST_ALLOWANCE_MS > job.deadline_at_ms:
+            if now_ms + need_ms > job.deadline_at_ms:
                 finished += self._fail(job, "too-late")
         return finished
 
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -13,6 +13,7 @@
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import measures
 from sesamehold.process.gateway import repeat_budget
+from sesamehold.process.gateway import route_pace
 from sesamehold.process.gateway import settings
 from sesamehold.process.gateway import target_choice
 from sesamehold.process.gateway import targets
@@ -34,6 +35,7 @@
         choice: Observations of targets.
         repeats: Budget of repeated sends.
         cold: Shares in cold targets.
+        route_pace: Time that targets take for the requests of a route.
         suspects: Requests that seem to crash targets.
         table: Routing table in force, None until one is known.
         stopping: Whether a graceful shutdown has begun.
@@ -50,6 +52,7 @@
     choice: target_choice.TargetChoice
     repeats: repeat_budget.RepeatBudget
     cold: cold_shares.ColdShares
+    route_pace: route_pace.RoutePace = attrs.field(factory=route_pace.RoutePace)
     suspects: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
     table: routing.RoutingTable | None = None
     stopping: bool = False
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -32,7 +32,7 @@
         model: Name of the model.
         prompt_tokens: Size of the whole prompt.
         output_tokens: Largest number of generated tokens.
-        parts: Parts from the beginning of the prompt on; the last one belongs to the session.
+        parts: Parts from the beginning of the prompt on.
     """
 
     model: str
@@ -40,6 +40,16 @@
     output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Returns the parts that earlier requests may have had; the last one is mostly new."""
+        return self.parts[:-1] if len(self.parts) > 1 else self.parts
+
+    @property
+    def session_id(self) -> str | None:
+        """Returns the identity of the last part that is shared, None if there are no parts."""
+        return self.shared_parts[-1].part_id if self.parts else None
+
 
 @attrs.frozen
 class RequestHead:
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -142,6 +142,7 @@
         urgency: Rank of the request; 0 is the most urgent.
         aim_ms: Time left until the results are wanted.
         deadline_ms: Time left until the results are of no use.
+        request_ms: Time that the request itself is expected to need after its stages.
         preferred_zone: Availability zone where the request is best run, empty for any.
     """
 
@@ -151,6 +152,7 @@
     urgency: int
     aim_ms: int
     deadline_ms: int
+    request_ms: int = 0
     preferred_zone: str = ""
 
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -190,6 +190,7 @@
             urgency=self._rank(),
             aim_ms=self._route.aim_ms - (now_ms - self._incoming.arrived_ms),
             deadline_ms=self._deadline.remaining_ms(now_ms),
+            request_ms=self._parts.state.route_pace.expected_ms(self._route.name),
             preferred_zone=self._preferred_zone(),
         )
         match await self._parts.stages.run(request):
@@ -517,6 +518,7 @@
         now_ms = self._now_ms()
         self._answer_ms = now_ms - started_ms
         state.choice.record_latency(target, self._answer_ms)
+        state.route_pace.record(self._route.name, self._answer_ms)
         state.suspects.record_success(self._fingerprint(), "", now_ms)
         seconds = (now_ms - started_ms) / _MS_PER_S
         state.measures.attempt_seconds.labels(self._service).observe(seconds)
@@ -567,8 +569,8 @@
 
 def _needs_of(prompt: messages.Prompt) -> target_choice.EngineNeeds:
     return target_choice.EngineNeeds(
-        session_id=prompt.parts[-1].part_id if prompt.parts else None,
-        cached_tokens=sum(part.token_count for part in prompt.parts),
+        session_id=prompt.session_id,
+        cached_tokens=sum(part.token_count for part in prompt.shared_parts),
     )
 
 
