Give room for stage results back as soon as their inputs are read

Change: inputs of a stage call are freed 50 ms after its start, those of an engine 60 ms after the send, not at the end or at the first event; while calls of another host may be ahead at a target they are kept. Inputs under 200 kB may cross zones. Ruled out: slower targets (calls took 1.02 of the expected time).

--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -11,6 +11,8 @@
 
 # Tries of one piece before the request is refused.
 MAX_TRIES = 4
+# Smaller inputs may cross zones: their transfer takes less than a millisecond.
+MIN_ZONE_INPUT_BYTES = 200_000
 
 
 @attrs.frozen
@@ -34,6 +36,17 @@
     def done(self) -> bool:
         return len(self.made) == self.work.piece_count
 
+    @property
+    def started(self) -> bool:
+        """Returns whether every piece is done or in a call."""
+        pieces = range(self.work.piece_count)
+        return all(piece in self.made or self.in_call[piece] for piece in pieces)
+
+    @property
+    def spent(self) -> bool:
+        """Returns whether results were given up, so that they would have to be made again."""
+        return any(not made.handle for made in self.made.values())
+
 
 @attrs.frozen
 class Step:
@@ -97,7 +110,7 @@
                 if piece not in stage.made and not stage.in_call[piece]
             )
             if pieces:
-                zone = self._zone_of(stage.needs)
+                zone = self._zone_of(stage.needs, len(pieces))
                 steps.append(Step(self, index, stage.work.service, pieces, zone))
         return steps
 
@@ -159,6 +172,7 @@
     def release_piece(self, stage_index: int, piece: int) -> None:
         """Lets a piece be done again although a call with it has not ended."""
         self._stages[stage_index].in_call[piece] = 0
+        self._remake_spent_inputs(stage_index)
 
     def finish(self, stage_index: int, piece: int, made: Made) -> bool:
         """Takes over a result; returns False if the piece was done already."""
@@ -180,7 +194,10 @@
         stage = self._stages[stage_index]
         stage.in_call[piece] = max(0, stage.in_call[piece] - 1)
         stage.tries[piece] += counts
-        return piece in stage.made or stage.tries[piece] < MAX_TRIES
+        if piece in stage.made:
+            return True
+        self._remake_spent_inputs(stage_index)
+        return stage.tries[piece] < MAX_TRIES
 
     def redo_inputs(self, stage_index: int) -> list[Made]:
         """Forgets the results that a stage needs, because one is gone; returns them."""
@@ -192,15 +209,26 @@
         return dropped
 
     def spent_results(self) -> list[Made]:
-        """Returns and forgets results that only finished stages needed."""
+        """Returns and gives up results that no piece will need any more.
+
+        A target fetches the inputs of a call at its start, so the results that only finished
+        pieces and pieces in a call need are spent. Call this once the running calls have begun.
+        """
         spent: list[Made] = []
         for index, stage in self._stages.items():
-            followers = self._followers[index]
-            if followers and stage.done and all(self._stages[item].done for item in followers):
+            followers = [self._stages[item] for item in self._followers[index]]
+            if followers and stage.done and all(item.started for item in followers):
                 spent += [made for made in stage.made.values() if made.handle]
                 stage.made = {piece: Made("", made.target) for piece, made in stage.made.items()}
         return spent
 
+    def _remake_spent_inputs(self, stage_index: int) -> None:
+        for needed in self._stages[stage_index].needs:
+            stage = self._stages[needed]
+            if stage.spent:
+                stage.made.clear()
+                self._remake_spent_inputs(needed)
+
     def all_results(self) -> list[Made]:
         """Returns all results that were not spent."""
         return [
@@ -219,13 +247,17 @@
         zone = zones.most_common(1)[0][0] if zones else ""
         return ports.StageResults(tuple(made.handle for made in final), zone)
 
-    def _zone_of(self, indexes: tuple[int, ...]) -> str:
+    def _zone_of(self, indexes: tuple[int, ...], piece_count: int) -> str:
+        """Returns the zone where most of the inputs of some pieces lie, empty if they are small."""
         zones: collections.Counter[str] = collections.Counter()
         for index in indexes:
             stage = self._stages[index]
             for made in stage.made.values():
                 zones[made.target.zone] += stage.work.result_size_bytes
-        return zones.most_common(1)[0][0] if zones else ""
+        # Every piece fetches all inputs.
+        if zones.total() * piece_count < MIN_ZONE_INPUT_BYTES:
+            return ""
+        return zones.most_common(1)[0][0]
 
 
 def _needs(works: dict[int, ports.StageWork], work: ports.StageWork) -> tuple[int, ...]:
--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -20,6 +20,8 @@
 # Work that arrives within this time shares a call; a round trip between zones takes about 2 ms.
 GATHER_S = 0.004
 FREE_TIMEOUT_S = 1.0
+# A free target fetches the inputs of a call at once, which takes milliseconds.
+INPUT_READ_S = 0.05
 # Results that are freed together share a call.
 FREE_DELAY_S = 0.003
 _MS_PER_S = 1_000
@@ -124,7 +126,12 @@
 
     async def _call(self, call: stage_scheduler.Call) -> None:
         self._state.measures.stage_call_pieces.labels(call.target.service).observe(len(call.pieces))
-        outcome = await self._exchange(call)
+        loop = asyncio.get_running_loop()
+        reading = loop.call_later(INPUT_READ_S, self._on_inputs_read, call)
+        try:
+            outcome = await self._exchange(call)
+        finally:
+            reading.cancel()
         now_ms = self._state.clock.now_ms()
         match outcome:
             case Result(tag="ok", ok=results):
@@ -137,6 +144,10 @@
         self._settle(finished)
         self._schedule(0.0)
 
+    def _on_inputs_read(self, call: stage_scheduler.Call) -> None:
+        self._scheduler.on_inputs_read(call, self._state.clock.now_ms())
+        self._schedule_free()
+
     async def _exchange(
         self, call: stage_scheduler.Call
     ) -> Result[list[ports.PieceResult], stage_scheduler.CallFault]:
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -41,6 +41,8 @@
 # Results that nothing but the request itself needs are not made earlier than this before the
 # other stages are expected to end, because they would take up room.
 EARLY_MS = 150
+# Calls of a host that was in charge before may wait at targets for this long.
+CONTENTION_MS = 1_500
 
 
 @attrs.frozen
@@ -145,6 +147,8 @@
     _jobs: dict[str, stage_job.Job] = attrs.field(factory=dict)
     _workers: dict[str, _Worker] = attrs.field(factory=dict)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
+    _submitted_ms: int | None = None
+    _contended_until_ms: int = 0
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -160,6 +164,10 @@
         wait_ms = self._chain_wait_ms(job)
         if now_ms + wait_ms + self._path_ms(job) > job.deadline_at_ms:
             return ports.StageFailure("overloaded", max(RETRY_AFTER_MS, int(wait_ms)))
+        if self._submitted_ms is None or now_ms - self._submitted_ms > CONTENTION_MS:
+            # Another host may have been in charge until now, and its calls may still run.
+            self._contended_until_ms = now_ms + CONTENTION_MS
+        self._submitted_ms = now_ms
         self._jobs[request.request_id] = job
         return None
 
@@ -209,10 +217,9 @@
             else:
                 finished += self._take_reason(worker, piece, result.reason, now_ms)
         for job in jobs.values():
-            if self._is_open(job):
+            if self._is_open(job) and job.done:
                 self._free(job.spent_results())
-                if job.done:
-                    finished.append(Finished(job))
+                finished.append(Finished(job))
         return finished
 
     def on_fault(self, call: Call, fault: CallFault, now_ms: int) -> list[Finished]:
@@ -220,6 +227,8 @@
         worker = self._end_call(call)
         avoid_ms = FULL_MS if fault.reachable else UNREACHABLE_MS
         worker.avoid_until_ms = now_ms + avoid_ms
+        if fault.reachable and not fault.worked:
+            self._contended_until_ms = now_ms + CONTENTION_MS
         finished = []
         for piece in call.pieces:
             again = piece.job.fail(piece.stage_index, piece.piece, counts=fault.worked)
@@ -227,6 +236,18 @@
                 finished += self._fail(piece.job, f"stage-{fault.kind}")
         return finished
 
+    def on_inputs_read(self, call: Call, now_ms: int) -> None:
+        """Frees the inputs of a call that its target has had the time to fetch.
+
+        While calls of other hosts may be ahead of it at the target, they are kept until its end.
+        """
+        if now_ms < self._contended_until_ms:
+            return
+        if call in self._worker(call.target).calls and not call.overdue:
+            for job in {id(piece.job): piece.job for piece in call.pieces}.values():
+                if self._is_open(job):
+                    self._free(job.spent_results())
+
     def take_freed(self) -> list[tuple[targets.Target, list[str]]]:
         """Returns and forgets the handles to free at each target."""
         freed, self._freed = self._freed, {}
@@ -462,6 +483,7 @@
             worker.foreign_until_ms = now_ms + FOREIGN_MS
             worker.foreign_bytes += job.result_size_bytes(piece.stage_index)
         elif reason == "gone":
+            self._contended_until_ms = now_ms + CONTENTION_MS
             self._free(job.redo_inputs(piece.stage_index))
         elif reason == "late":
             return self._fail(job, "stage-late")
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -37,6 +37,10 @@
 RESUME_AFTER_GAPS = 3
 MIN_RESUME_AFTER_MS = 800
 MAX_URGENCY = 9
+# Engines fetch stage results as soon as a request begins, and take milliseconds for it; the room
+# is given back after this time. An engine that had the request wait refuses it, and the stages are
+# done again.
+INPUT_READ_S = 0.06
 _MS_PER_S = 1_000
 
 
@@ -79,6 +83,7 @@
     _deadline: deadlines.Deadline = attrs.field(init=False)
     _results: ports.StageResults | None = None
     _has_stages: bool = False
+    _inputs_freed: bool = False
     _begun: bool = False
     _splitter: event_stream.EventSplitter = attrs.field(factory=event_stream.EventSplitter)
     _fallback: _Held | None = None
@@ -183,6 +188,7 @@
             return True
         now_ms = self._now_ms()
         self._has_stages = True
+        self._inputs_freed = False
         request = ports.StageRequest(
             request_id=head.request_id,
             piece_key=head.piece_key,
@@ -289,12 +295,17 @@
         body = self._incoming.body
         size_bytes = None if body is None else len(body)
         head = self._parts.codec.send_head(self._incoming.head, order, size_bytes)
-        sent = await self._parts.client.send(
-            target,
-            head + (body or b""),
-            self._incoming.head.request_id,
-            reuse=self._route.repeatable,
-        )
+        loop = asyncio.get_running_loop()
+        reading = loop.call_later(INPUT_READ_S, self._release_inputs)
+        try:
+            sent = await self._parts.client.send(
+                target,
+                head + (body or b""),
+                self._incoming.head.request_id,
+                reuse=self._route.repeatable,
+            )
+        finally:
+            reading.cancel()
         match sent:
             case Result(tag="ok", ok=answer):
                 return await self._take_answer(target, answer, started_ms)
@@ -422,6 +433,7 @@
         if self._has_stages:
             self._parts.stages.release(self._incoming.head.request_id)
             self._has_stages = False
+            self._inputs_freed = True
 
     async def _read_all(self, answer: ports.TargetAnswer) -> bytes | None:
         chunks: list[bytes] = []
@@ -448,6 +460,8 @@
             self._outcome = f"passed-{held.head.status}"
             await self._sink.whole(held.head.status, held.head.headers, held.body)
             return None
+        if step is attempts.Step.SEND_AGAIN and self._inputs_freed:
+            step = attempts.Step.REDO_STAGES
         if step in {attempts.Step.SEND_AGAIN, attempts.Step.REDO_STAGES}:
             self._log("attempt.again", target=target.target_id, after=result.value)
             return step
@@ -474,9 +488,6 @@
         if not state.repeats.try_spend(self._service, host_count, now_ms):
             self._log("attempt.budget-used-up", service=self._service)
             return fallback
-        if self._begun and result is not attempts.Result.INPUTS_GONE and self._route.stages:
-            # The results were freed with the first event.
-            return attempts.Step.REDO_STAGES
         return step
 
     async def _give_up(self, reason: messages.Reason) -> None:
