Test the gateway: codecs, scheduling, shares over the fleet, workers that misbehave

Cause: the path to the platform had no tests of its own. Change: tables for the adapter's formats, for stage calls, for what may be repeated and for fleet-wide sums; stand-ins of store and workers on loopback; a layout test that keeps the platform's names inside the adapter and the adapter under a tenth of the source. Found by them: a job whose duplicate result came after its end was reported as finished twice; fixed.

--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -209,14 +209,13 @@
         actual_ms = now_ms - call.started_ms
         worker.pace += PACE_WEIGHT * (actual_ms / max(1.0, call.expected_ms) - worker.pace)
         finished = []
-        jobs: dict[int, stage_job.Job] = {}
+        unfinished = {id(piece.job): piece.job for piece in call.pieces if not piece.job.done}
         for piece, result in zip(call.pieces, results, strict=True):
-            jobs[id(piece.job)] = piece.job
             if result.handle is not None:
                 self._take_result(call.target, worker, piece, result.handle, now_ms)
             else:
                 finished += self._take_reason(worker, piece, result.reason, now_ms)
-        for job in jobs.values():
+        for job in unfinished.values():
             if self._is_open(job) and job.done:
                 self._free(job.spent_results())
                 finished.append(Finished(job))
--- a/src/sesamehold/request/gateway/attempts.py
+++ b/src/sesamehold/request/gateway/attempts.py
@@ -20,7 +20,7 @@
     """What is known of a request after one attempt."""
 
     NOT_SENT = "not-sent"
-    NOT_RUN = "not-run"
+    NOT_RUN = "target-refused"
     INPUTS_GONE = "inputs-gone"
     UNKNOWN = "unknown"
     BAD_ANSWER = "bad-answer"
--- /dev/null
+++ b/testing/platform/test_gateway.py
@@ -0,0 +1,434 @@
+"""Guards the path of a request through a gateway, before workers that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import platform_stand_in as stand_in
+from platform_stand_in import Exchange
+from platform_stand_in import Script
+import pytest
+
+EVENTS = [b"id: %d\ndata: e%d\n\n" % (index, index) for index in range(1, 5)]
+PIECES = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 4,
+    "callMs": 5.0,
+    "itemMs": 1.0,
+    "roomMb": 1.0,
+    "handleS": 4.0,
+}
+
+
+async def _ok(exchange: Exchange) -> None:
+    exchange.send(200, b"answer")
+
+
+async def _unsigned(exchange: Exchange) -> None:
+    exchange.send(200, b"forged", Server_Seal="")
+
+
+async def _short(exchange: Exchange) -> None:
+    exchange.write_head(
+        200, {"Request-Id": exchange.request_id, "Server-Seal": "s", "Content-Length": "90"}
+    )
+    exchange.writer.write(b"too short")
+    exchange.writer.close()
+
+
+async def _not_http(exchange: Exchange) -> None:
+    exchange.writer.write(b"\x00\x01 nothing like HTTP\r\n\r\n")
+
+
+async def _reset(exchange: Exchange) -> None:
+    exchange.reset()
+
+
+async def _close(exchange: Exchange) -> None:
+    exchange.writer.close()
+
+
+async def _full(exchange: Exchange) -> None:
+    exchange.send(503, Not_Run="1", Server_Seal="")
+
+
+async def _error(exchange: Exchange) -> None:
+    exchange.send(500, b"own error")
+
+
+async def _vague_503(exchange: Exchange) -> None:
+    exchange.send(503, b"may have run")
+
+
+async def _late_answer_first(exchange: Exchange) -> None:
+    exchange.send(200, b"other", Request_Id="other")
+    exchange.send(200, b"answer")
+
+
+async def _extra_answer(exchange: Exchange) -> None:
+    exchange.send(200, b"answer")
+    exchange.send(200, b"extra")
+
+
+async def _encoded(exchange: Exchange) -> None:
+    exchange.send(200, b"zipped", Content_Encoding="gzip")
+
+
+def _site(kind: str, scripts: list[Script], **route: object) -> stand_in.Site:
+    site = stand_in.Site()
+    site.routes = [stand_in.route("svc", kind, **route)]
+    for index, script in enumerate(scripts):
+        site.add_worker(f"i-{index}", "svc", script)
+    site.publish()
+    return site
+
+
+def _status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1]) if answer.startswith(b"HTTP/1.") else 0
+
+
+@pytest.mark.parametrize(
+    ("kind", "script", "status", "runs"),
+    [
+        pytest.param("idempotent", _ok, 200, 1, id="safe-answered"),
+        pytest.param("idempotent", _reset, 200, 2, id="safe-reset"),
+        pytest.param("idempotent", _close, 200, 2, id="safe-closed"),
+        pytest.param("idempotent", _short, 200, 2, id="safe-short-body"),
+        pytest.param("idempotent", _unsigned, 200, 2, id="safe-unsigned"),
+        pytest.param("idempotent", _encoded, 200, 2, id="safe-encoded"),
+        pytest.param("idempotent", _not_http, 200, 2, id="safe-not-http"),
+        pytest.param("idempotent", _error, 200, 2, id="safe-error"),
+        pytest.param("idempotent", _late_answer_first, 200, 1, id="safe-late-answer-first"),
+        pytest.param("non_idempotent", _ok, 200, 1, id="unsafe-answered"),
+        pytest.param("non_idempotent", _reset, 502, 1, id="unsafe-reset"),
+        pytest.param("non_idempotent", _close, 502, 1, id="unsafe-closed"),
+        pytest.param("non_idempotent", _short, 502, 1, id="unsafe-short-body"),
+        pytest.param("non_idempotent", _unsigned, 502, 1, id="unsafe-unsigned"),
+        pytest.param("non_idempotent", _error, 500, 1, id="unsafe-error-is-passed"),
+        pytest.param("non_idempotent", _vague_503, 502, 1, id="unsafe-503-may-have-run"),
+        pytest.param("non_idempotent", _full, 200, 2, id="unsafe-full"),
+    ],
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_first_target_misbehaves(
+    kind: str, script: Script, status: int, runs: int, method: str
+) -> None:
+    """Guards at-most-once by the kind of the route, whatever the method, and whole answers."""
+    count = 0
+
+    async def first_then_ok(exchange: Exchange) -> None:
+        nonlocal count
+        count += 1
+        await (script if count == 1 else _ok)(exchange)
+
+    async def main() -> None:
+        site = _site(kind, [first_then_ok, first_then_ok])
+        async with site:
+            gateway = await site.start_gateway()
+            # Requests before this one earn the budget of repeated sends.
+            for index in range(30):
+                gateway.state.repeats.record_request("svc", gateway.state.clock.now_ms() - index)
+            answer = await site.send(stand_in.request("/svc/x", method=method))
+            assert _status(answer) == status, answer
+            assert count == runs
+            if status == 200:
+                assert answer.endswith(b"answer")
+
+    stand_in.run(main)
+
+
+def test_kept_connection_that_breaks_does_not_repeat_unsafe_requests() -> None:
+    """Guards against a client library that repeats GET by itself."""
+
+    async def main() -> None:
+        site = _site("non_idempotent", [])
+        seen: list[str] = []
+
+        async def script(exchange: Exchange) -> None:
+            seen.append(exchange.request_id)
+            if len(seen) == 2:
+                exchange.reset()
+            else:
+                exchange.send(200, b"answer", Keep_Alive="timeout=60")
+
+        site.add_worker("i-0", "svc", script)
+        site.publish()
+        async with site:
+            await site.start_gateway()
+            first = await site.send(stand_in.request("/svc/x", "r1", method="GET", body=b""))
+            second = await site.send(stand_in.request("/svc/x", "r2", method="GET", body=b""))
+            assert (_status(first), _status(second)) == (200, 502)
+            assert seen == ["r1", "r2"]
+
+    stand_in.run(main)
+
+
+def test_bytes_after_an_answer_do_not_reach_another_request() -> None:
+    """Guards against an answer that is delivered to the wrong caller."""
+
+    async def main() -> None:
+        site = _site("idempotent", [_extra_answer])
+        async with site:
+            await site.start_gateway()
+            answers = [
+                await site.send(stand_in.request("/svc/x", f"r{index}")) for index in range(5)
+            ]
+            for index, answer in enumerate(answers):
+                assert answer.endswith(b"answer")
+                assert f"Request-Id: r{index}\r\n".encode() in answer
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(stand_in.request("/none/x"), 404, id="no-route"),
+        pytest.param(stand_in.request("/svc/x", key="wrong"), 401, id="unknown-key"),
+        pytest.param(stand_in.request("/svc/x", key=None), 401, id="no-key"),
+        pytest.param(stand_in.request("/svc/x", body=b"x" * 100_001), 413, id="too-large"),
+        pytest.param(stand_in.request("/svc/x", Pieces="x"), 400, id="malformed-header"),
+        pytest.param(b"nonsense\r\n\r\n", 400, id="not-http"),
+    ],
+)
+def test_refused_request_reaches_no_target(data: bytes, status: int) -> None:
+    """Guards against work for requests that are not allowed."""
+
+    async def main() -> None:
+        site = _site("idempotent", [_ok])
+        async with site:
+            await site.start_gateway()
+            answer = await site.send(data)
+            assert _status(answer) == status, answer
+            assert not site.workers["i-0"].exchanges
+
+    stand_in.run(main)
+
+
+def test_target_gets_the_request_unchanged_and_the_account() -> None:
+    """Guards path, query, body, identity and that the key stays here."""
+
+    async def main() -> None:
+        site = _site("non_idempotent", [_ok])
+        async with site:
+            await site.start_gateway()
+            await site.send(stand_in.request("/svc/a%2Fb//c?q=%20&r", Tenant="forged", X_Own="1"))
+            (exchange,) = site.workers["i-0"].exchanges
+            assert exchange.target == "/svc/a%2Fb//c?q=%20&r"
+            assert exchange.body == b"body"
+            assert exchange.headers["tenant"] == "bozi"
+            assert exchange.headers["expect-instance"] == "i-0"
+            assert exchange.headers["x-own"] == "1"
+            assert 0 < int(exchange.headers["deadline-remaining"]) <= 2_000
+            assert "authorization" not in exchange.headers
+
+    stand_in.run(main)
+
+
+def _stream(events: list[bytes], *, end: str) -> Script:
+    async def script(exchange: Exchange) -> None:
+        last = int(exchange.headers.get("last-event-id", "0"))
+        exchange.write_head(
+            200,
+            {
+                "Request-Id": exchange.request_id,
+                "Server-Seal": f"seal-{exchange.count}",
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked",
+            },
+        )
+        rest = [event for index, event in enumerate(EVENTS, start=1) if index > last]
+        for event in events if end != "whole" else rest:
+            exchange.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await exchange.writer.drain()
+            await asyncio.sleep(0.01)
+        if end == "whole":
+            exchange.writer.write(b"0\r\n\r\n")
+        elif end == "reset":
+            exchange.reset()
+        else:
+            await asyncio.sleep(30)
+
+    return script
+
+
+@pytest.mark.parametrize("end", ["reset", "silent"])
+def test_resumable_stream_goes_on_at_another_target(end: str) -> None:
+    """Guards against a missing, doubled or torn event after a break or a silence."""
+
+    async def main() -> None:
+        count = 0
+        broken = _stream([*EVENTS[:2], b"id: 3\nda"], end=end)
+        whole = _stream([], end="whole")
+
+        async def script(exchange: Exchange) -> None:
+            nonlocal count
+            count += 1
+            await (broken if count == 1 else whole)(exchange)
+
+        site = _site("streaming", [script, script], resumable=True, gapAimMs=50)
+        async with site:
+            await site.start_gateway()
+            answer = await site.send(stand_in.request("/svc/x"))
+            head, _, body = answer.partition(b"\r\n\r\n")
+            assert head.count(b"Server-Seal: seal-0") == 1
+            payload = b"".join(
+                line for line in body.splitlines(keepends=True) if not _is_chunk_size(line)
+            )
+            assert payload.replace(b"\r\n", b"") == b"".join(EVENTS)
+            assert body.endswith(b"0\r\n\r\n")
+
+    stand_in.run(main)
+
+
+def _is_chunk_size(line: bytes) -> bool:
+    return line.endswith(b"\r\n") and line.strip().isalnum() and len(line) <= 6
+
+
+def test_broken_stream_that_may_not_be_resumed_does_not_look_complete() -> None:
+    """Guards against half an answer that the caller takes for a whole one, and a second run."""
+
+    async def main() -> None:
+        script = _stream(EVENTS[:2], end="reset")
+        site = _site("streaming", [script, script])
+        async with site:
+            await site.start_gateway()
+            answer = await site.send(stand_in.request("/svc/x"))
+            assert not answer.endswith(b"0\r\n\r\n")
+            assert sum(len(worker.exchanges) for worker in site.workers.values()) == 1
+
+    stand_in.run(main)
+
+
+def test_target_stops_when_the_caller_leaves() -> None:
+    """Guards against work for callers that are gone."""
+
+    async def main() -> None:
+        async def slow(exchange: Exchange) -> None:
+            await asyncio.sleep(30)
+
+        site = _site("idempotent", [slow])
+        async with site:
+            await site.start_gateway()
+            _, writer = await asyncio.open_connection(site.ingress.ip, site.ingress.port)
+            writer.write(stand_in.request("/svc/x"))
+            while not site.workers["i-0"].exchanges:
+                await asyncio.sleep(0.01)
+            writer.close()
+            async with asyncio.timeout(0.5):
+                while not site.workers["i-0"].closed_early:
+                    await asyncio.sleep(0.01)
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        pytest.param("idempotent", 504, id="safe"),
+        pytest.param("non_idempotent", 504, id="unsafe"),
+    ],
+)
+def test_answer_at_the_time_out_of_the_route(kind: str, status: int) -> None:
+    """Guards against callers that are held beyond the operator's time-out."""
+
+    async def main() -> None:
+        async def slow(exchange: Exchange) -> None:
+            await asyncio.sleep(30)
+
+        site = _site(kind, [slow], timeoutMs=200)
+        async with site:
+            await site.start_gateway()
+            async with asyncio.timeout(0.7):
+                answer = await site.send(stand_in.request("/svc/x"))
+            assert _status(answer) == status
+
+    stand_in.run(main)
+
+
+def test_request_that_crashes_its_targets_is_refused() -> None:
+    """Guards the targets against a request that comes again and again."""
+
+    async def main() -> None:
+        site = _site("non_idempotent", [_reset, _reset])
+        async with site:
+            await site.start_gateway()
+            statuses = [
+                _status(await site.send(stand_in.request("/svc/x", f"r{index}")))
+                for index in range(6)
+            ]
+            assert statuses == [502, 502, 502, 503, 503, 503]
+
+    stand_in.run(main)
+
+
+async def _stage_worker(exchange: Exchange) -> None:
+    if exchange.target.endswith("stage-free"):
+        exchange.send(200, b"")
+        return
+    items = json.loads(exchange.body)["items"]
+    made = [
+        {"handle": f"127.0.0.1:1/{item['id']}-{item['stage']}-{item['piece']}"} for item in items
+    ]
+    exchange.send(200, json.dumps({"items": made}).encode())
+
+
+def test_stages_are_done_before_the_request_and_freed_after_it() -> None:
+    """Guards the chain of stages from the caller's counts to the inputs of the engine."""
+
+    async def main() -> None:
+        site = stand_in.Site()
+        site.routes = [
+            stand_in.route(
+                "svc",
+                "non_idempotent",
+                stages=[
+                    {"service": "st", "after": [], "bytes": 10},
+                    {"service": "st", "after": [0], "bytes": 10},
+                ],
+            )
+        ]
+        site.services["st"] = {"name": "st", "pieces": PIECES}
+        engine = site.add_worker("i-0", "svc", _ok)
+        stage = site.add_worker("i-1", "st", _stage_worker)
+        site.publish()
+        async with site:
+            await site.start_gateway()
+            data = stand_in.request("/svc/x", "r1", Pieces="2,1", Piece_Key="k")
+            assert _status(await site.send(data)) == 200
+            assert engine.exchanges[0].headers["inputs"] == "127.0.0.1:1/r1-1-0"
+            runs = [item for item in stage.exchanges if item.target.endswith("stage-run")]
+            pieces = [item for run in runs for item in json.loads(run.body)["items"]]
+            assert [item.get("key") for item in pieces] == ["k", "k", None]
+            assert len(pieces[2]["inputs"]) == 2
+            await asyncio.sleep(0.1)
+            frees = [item for item in stage.exchanges if item.target.endswith("stage-free")]
+            freed = [handle for free in frees for handle in json.loads(free.body)["handles"]]
+            assert len(freed) == len(set(freed)) == 3
+
+    stand_in.run(main)
+
+
+def test_stop_finishes_what_runs() -> None:
+    """Guards requests against a planned stop, and the readiness that takes the host out."""
+
+    async def main() -> None:
+        async def slow(exchange: Exchange) -> None:
+            await asyncio.sleep(0.4)
+            exchange.send(200, b"answer")
+
+        site = _site("non_idempotent", [slow])
+        async with site:
+            gateway = await site.start_gateway()
+            ready = stand_in.request("/", method="GET", body=b"")
+            assert _status(await site.send(ready, address=site.readiness)) == 200
+            pending = asyncio.create_task(site.send(stand_in.request("/svc/x")))
+            while not site.workers["i-0"].exchanges:
+                await asyncio.sleep(0.01)
+            gateway.start_drain()
+            assert _status(await site.send(ready, address=site.readiness)) == 503
+            assert (await pending).endswith(b"answer")
+
+    stand_in.run(main)
--- /dev/null
+++ b/testing/platform/test_headers.py
@@ -0,0 +1,190 @@
+"""Guards the translation of the platform's headers."""
+
+from __future__ import annotations
+
+import attrs
+from expression import Result
+import pytest
+
+from sesamehold.platform import headers
+from sesamehold.request.gateway import messages
+
+CODEC = headers.PlatformHeaders()
+BASE = (
+    (b"Host", b"Pule25.example:80"),
+    (b"Request-Id", b"9c41"),
+    (b"Authorization", b"Bearer key-1"),
+    (b"Deadline-Remaining", b"6000"),
+)
+
+
+def _head(*extra: tuple[bytes, bytes], method: str = "POST") -> messages.RequestHead:
+    match CODEC.request_head(method, b"/a/%2Fb?q=1", (*BASE, *extra)):
+        case Result(tag="ok", ok=head):
+            return head
+        case Result(error=fault):
+            raise AssertionError(fault)
+
+
+def test_request_head_is_decoded_into_typed_fields() -> None:
+    """Guards against values that are left as texts of the wire."""
+    head = _head(
+        (b"Model", b"m"),
+        (b"Token-Counts", b"1460,80"),
+        (b"Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+        (b"Pieces", b"0,3"),
+        (b"Piece-Key", b"7c1e"),
+        (b"Last-Event-Id", b"12"),
+    )
+    assert (head.request_id, head.host, head.path) == ("9c41", "Pule25.example", "/a/%2Fb")
+    assert head.raw_target == b"/a/%2Fb?q=1"
+    assert (head.budget_ms, head.key, head.last_event_id) == (6000, "key-1", 12)
+    assert (head.piece_counts, head.piece_key) == ((0, 3), "7c1e")
+    assert head.prompt is not None
+    assert (head.prompt.prompt_tokens, head.prompt.output_tokens) == (1460, 80)
+    assert head.prompt.session_id == "91bd"
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        pytest.param((b"Tenant", b"other"), id="account-of-the-caller"),
+        pytest.param((b"Hold", b"h"), id="reservation"),
+        pytest.param((b"Pin-Milliseconds", b"900"), id="pin"),
+        pytest.param((b"Cache-Backup", b"10.0.0.1:1"), id="backup"),
+        pytest.param((b"Kv-From", b"10.0.0.1:1/x"), id="import"),
+        pytest.param((b"Inputs", b"10.0.0.1:1/x"), id="inputs"),
+        pytest.param((b"Expect-Instance", b"i-1"), id="expected-target"),
+        pytest.param((b"Request-Priority", b"0"), id="urgency"),
+        pytest.param((b"Keep-Alive", b"timeout=9"), id="hop-by-hop"),
+        pytest.param((b"Transfer-Encoding", b"chunked"), id="framing"),
+    ],
+)
+def test_header_of_the_caller_is_not_forwarded(extra: tuple[bytes, bytes]) -> None:
+    """Guards against callers that set what only this system may set, and against old framing."""
+    names = {name.lower() for name, _ in _head(extra).headers}
+    assert extra[0].lower() not in names
+    assert b"authorization" not in names
+
+
+def test_headers_named_by_connection_are_not_forwarded() -> None:
+    """Guards against headers that concern one connection only."""
+    head = _head((b"Connection", b"X-One, close"), (b"X-One", b"1"), (b"X-Two", b"2"))
+    names = {name for name, _ in head.headers}
+    assert b"X-One" not in names
+    assert b"X-Two" in names
+
+
+@pytest.mark.parametrize(
+    ("order", "size_bytes", "lines", "absent"),
+    [
+        pytest.param(
+            messages.SendOrder(900, "i-1", "bozi"),
+            5,
+            [b"Deadline-Remaining: 900", b"Expect-Instance: i-1", b"Tenant: bozi"],
+            [b"Inputs", b"Request-Priority", b"Last-Event-Id"],
+            id="plain",
+        ),
+        pytest.param(
+            messages.SendOrder(900, "i-1", None, 2, ("a:1/x", "b:2/y"), 7),
+            5,
+            [b"Inputs: a:1/x,b:2/y", b"Request-Priority: 2", b"Last-Event-Id: 7"],
+            [b"Tenant"],
+            id="engine",
+        ),
+        pytest.param(
+            messages.SendOrder(900, "i-1", None, inputs=()),
+            None,
+            [b"Inputs: "],
+            [b"Content-Length"],
+            id="no-body-no-inputs",
+        ),
+    ],
+)
+def test_send_head(
+    order: messages.SendOrder,
+    size_bytes: int | None,
+    lines: list[bytes],
+    absent: list[bytes],
+) -> None:
+    """Guards what a target is told, and that path and query stay as they came."""
+    data = CODEC.send_head(_head(), order, size_bytes)
+    assert data.startswith(b"POST /a/%2Fb?q=1 HTTP/1.1\r\n")
+    assert data.endswith(b"\r\n\r\n")
+    sent = data.split(b"\r\n")
+    assert all(line in sent for line in lines)
+    assert not any(line.startswith(name + b":") for line in sent for name in absent)
+
+
+@pytest.mark.parametrize(
+    ("header", "value"),
+    [
+        pytest.param(b"Deadline-Remaining", b"soon", id="deadline"),
+        pytest.param(b"Token-Counts", b"a,b", id="tokens"),
+        pytest.param(b"Pieces", b"x", id="pieces"),
+        pytest.param(b"Last-Event-Id", b"-", id="last-event"),
+    ],
+)
+def test_malformed_header_is_refused(header: bytes, value: bytes) -> None:
+    """Guards against exceptions for bad input."""
+    assert CODEC.request_head("GET", b"/", (*BASE, (header, value))).is_error()
+
+
+def test_request_without_id_is_refused() -> None:
+    """Guards against answers that could not be matched."""
+    assert CODEC.request_head("GET", b"/", ((b"Host", b"a"),)).is_error()
+
+
+@pytest.mark.parametrize(
+    ("status", "pairs", "changes"),
+    [
+        pytest.param(200, ((b"Server-Seal", b"s"),), {"sealed": True}, id="sealed"),
+        pytest.param(503, ((b"Not-Run", b"1"),), {"not_run": True}, id="not-run"),
+        pytest.param(421, (), {"wrong_target": True}, id="wrong-target"),
+        pytest.param(200, ((b"Content-Encoding", b"gzip"),), {"encoded": True}, id="encoded"),
+        pytest.param(
+            200,
+            ((b"Server-Load", b"3,1,8"),),
+            {"load": messages.LoadSample(3, 1, 8)},
+            id="load",
+        ),
+        pytest.param(200, ((b"Server-Load", b"many"),), {}, id="bad-load-is-left-out"),
+        pytest.param(200, ((b"Keep-Alive", b"timeout=5, max=2"),), {"idle_ms": 5000}, id="idle"),
+        pytest.param(200, ((b"Content-Length", b"7"),), {"content_length": 7}, id="length"),
+        pytest.param(200, ((b"Request-Id", b"9c"),), {"request_id": "9c"}, id="id"),
+    ],
+)
+def test_answer_head(status: int, pairs: messages.HeaderPairs, changes: dict[str, object]) -> None:
+    """Guards what is believed of a target's answer."""
+    head = CODEC.answer_head(status, pairs)
+    expected = attrs.evolve(messages.AnswerHead(status, head.headers), **changes)
+    assert head == expected
+
+
+@pytest.mark.parametrize(
+    ("refusal", "status"),
+    [
+        pytest.param(messages.Refusal(messages.Reason.NO_CONFIGURATION), 503, id="no-config"),
+        pytest.param(messages.Refusal(messages.Reason.NO_ROUTE), 404, id="no-route"),
+        pytest.param(messages.Refusal(messages.Reason.UNKNOWN_KEY), 401, id="unknown-key"),
+        pytest.param(messages.Refusal(messages.Reason.BODY_TOO_LARGE), 413, id="too-large"),
+        pytest.param(messages.Refusal(messages.Reason.TOO_LATE), 503, id="late-not-run"),
+        pytest.param(messages.Refusal(messages.Reason.TOO_LATE, True), 504, id="late-may-have-run"),
+        pytest.param(
+            messages.Refusal(messages.Reason.OUTCOME_UNKNOWN, True), 502, id="outcome-unknown"
+        ),
+        pytest.param(messages.Refusal(messages.Reason.INTERNAL, True), 502, id="internal"),
+    ],
+)
+def test_refusal_says_not_run_only_if_true(refusal: messages.Refusal, status: int) -> None:
+    """Guards the statuses that callers take as the promise that nothing has run."""
+    answer, _, _ = CODEC.refusal(attrs.evolve(refusal, retry_after_ms=1_250), "9c")
+    assert answer == status
+
+
+def test_refusal_tells_when_to_come_back() -> None:
+    """Guards the unit of the time."""
+    refusal = messages.Refusal(messages.Reason.NO_TARGET, retry_after_ms=1_250)
+    _, headers_out, _ = CODEC.refusal(refusal, "9c")
+    assert headers_out["Retry-After"] == "1.250"
+    assert headers_out["Request-Id"] == "9c"
--- /dev/null
+++ b/testing/platform_stand_in.py
@@ -0,0 +1,363 @@
+"""Small stand-ins for the platform's store and workers, and a gateway on loopback before them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import json
+import socket
+from typing import Any
+
+from aiohttp import web
+from expression import Ok
+import uvloop
+
+from sesamehold.platform import headers
+from sesamehold.platform import stage_calls
+from sesamehold.platform import store
+from sesamehold.process import settings
+from sesamehold.process.gateway import daemon
+from sesamehold.process.gateway import decision_log
+from sesamehold.process.gateway import settings as gateway_settings
+
+HOST = "127.0.0.1"
+KEY = "key-1"
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class StoreStandIn:
+    """Serves items and watches; `failing` makes every call fail with a status."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[int, bytes | None]] = {}
+        self.revision = 1
+        self.failing: int | None = None
+        self.compacted_below = 0
+        self.page_size = 500
+        self.changed = asyncio.Event()
+        self.calls: list[str] = []
+        self.address = f"{HOST}:{free_port()}"
+
+    def put(self, key: str, value: Any) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._set(key, data)
+
+    def delete(self, key: str) -> None:
+        self._set(key, None)
+
+    def _set(self, key: str, data: bytes | None) -> None:
+        self.revision += 1
+        self.items[key] = (self.revision, data)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def start(self) -> web.AppRunner:
+        app = web.Application()
+        app.router.add_get("/-/kv-range", self._range)
+        app.router.add_get("/-/kv-watch", self._watch)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        address = settings.Address.parse(self.address)
+        await web.TCPSite(runner, address.ip, address.port).start()
+        return runner
+
+    def _entry(self, key: str) -> dict[str, Any]:
+        revision, data = self.items[key]
+        if data is None:
+            return {"key": key, "revision": revision, "tombstone": True}
+        value = base64.b64encode(data).decode()
+        return {"key": key, "value": value, "revision": revision, "created": 1, "lease": 0}
+
+    async def _range(self, request: web.Request) -> web.Response:
+        self.calls.append("range")
+        if self.failing is not None:
+            return web.Response(status=self.failing)
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(
+            key
+            for key, (_, data) in self.items.items()
+            if key.startswith(prefix) and key > after and data is not None
+        )
+        page = [self._entry(key) for key in keys[: self.page_size]]
+        return web.json_response(
+            {
+                "items": page,
+                "truncated": len(keys) > self.page_size,
+                "storeRevision": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        self.calls.append("watch")
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        wait_s = int(request.query["waitMs"]) / 1_000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while self.failing is None and not self._events(prefix, after):
+                    await self.changed.wait()
+        if self.failing is not None:
+            return web.Response(status=self.failing)
+        if after < self.compacted_below:
+            return web.Response(status=410)
+        return web.json_response(
+            {"events": self._events(prefix, after), "storeRevision": self.revision}
+        )
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            self._entry(key)
+            for key, (revision, _) in self.items.items()
+            if key.startswith(prefix) and revision > after
+        ]
+
+
+Script = Callable[["Exchange"], Awaitable[None]]
+
+
+class Exchange:
+    """One request at a scripted worker."""
+
+    def __init__(self, head: bytes, body: bytes, writer: asyncio.StreamWriter, count: int) -> None:
+        lines = head.decode("latin-1").split("\r\n")
+        self.method, self.target, _ = lines[0].split(" ")
+        self.headers = {
+            name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])
+        }
+        self.body = body
+        self.writer = writer
+        self.count = count
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("request-id", "")
+
+    def send(self, status: int, body: bytes = b"", **extra: str) -> None:
+        """Writes an answer whose length is stated; underscores in names stand for dashes."""
+        fields = {"Request-Id": self.request_id, "Server-Seal": "seal"}
+        fields |= {name.replace("_", "-"): value for name, value in extra.items()}
+        fields["Content-Length"] = str(len(body))
+        self.write_head(status, fields)
+        self.writer.write(body)
+
+    def write_head(self, status: int, fields: dict[str, str]) -> None:
+        lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in fields.items() if v)]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def reset(self) -> None:
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.writer.transport.abort()
+
+
+class WorkerStandIn:
+    """Answers requests by a script, over kept connections."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.exchanges: list[Exchange] = []
+        self.connection_count = 0
+        self.closed_early = 0
+        self.port = free_port()
+
+    @property
+    def address(self) -> str:
+        return f"{HOST}:{self.port}"
+
+    async def start(self) -> asyncio.Server:
+        return await asyncio.start_server(self._serve, HOST, self.port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connection_count += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).removesuffix(b"\r\n\r\n")
+                lower = head.lower()
+                length = 0
+                if b"content-length: " in lower:
+                    length = int(lower.split(b"content-length: ")[1].split(b"\r\n")[0])
+                body = await reader.readexactly(length)
+                exchange = Exchange(head, body, writer, len(self.exchanges))
+                self.exchanges.append(exchange)
+                answer = asyncio.ensure_future(self.script(exchange))
+                gone = asyncio.ensure_future(_closed(reader))
+                await asyncio.wait({answer, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if not answer.done():
+                    self.closed_early += 1
+                    answer.cancel()
+                    return
+                gone.cancel()
+                await asyncio.gather(gone, return_exceptions=True)
+                answer.result()
+                if writer.is_closing():
+                    return
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+async def _closed(reader: asyncio.StreamReader) -> None:
+    while not reader.at_eof():
+        await asyncio.sleep(0.005)
+
+
+def route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Returns a route `/NAME/` to the service of the same name."""
+    return {
+        "name": name,
+        "host": "h.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3_000,
+        "aimMs": 400,
+        "priority": 1,
+        "service": name,
+        "attempts": 2,
+        **changes,
+    }
+
+
+class Site:
+    """Store, workers and one gateway."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.workers: dict[str, WorkerStandIn] = {}
+        self.routes: list[dict[str, Any]] = []
+        self.services: dict[str, dict[str, Any]] = {}
+        self.version = 0
+        self.ingress = settings.Address(HOST, free_port())
+        self.readiness = settings.Address(HOST, free_port())
+        self.metrics = settings.Address(HOST, free_port())
+        self.gateway: daemon.GatewayDaemon | None = None
+        self._stack = contextlib.AsyncExitStack()
+        self.gateway_task: asyncio.Task[None] | None = None
+
+    def add_worker(
+        self, target_id: str, service: str, script: Script, **fields: Any
+    ) -> WorkerStandIn:
+        worker = self.workers[target_id] = WorkerStandIn(script)
+        self.services.setdefault(service, {"name": service})
+        self.register(target_id, service, **fields)
+        return worker
+
+    def register(self, target_id: str, service: str, **fields: Any) -> None:
+        entry = {
+            "service": service,
+            "address": self.workers[target_id].address,
+            "zone": "z1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+            **fields,
+        }
+        self.store.put(f"servers/{target_id}", entry)
+
+    def publish(self, **changes: Any) -> None:
+        self.version += 1
+        self.store.put(
+            "op/config",
+            {
+                "version": self.version,
+                "routes": self.routes,
+                "services": list(self.services.values()),
+                "limits": {"bodyBytes": 100_000, "idleMs": 2_000},
+                "tenants": [{"name": "bozi", "keys": [KEY], "priority": 1}],
+                **changes,
+            },
+        )
+
+    async def __aenter__(self) -> Site:
+        runner = await self.store.start()
+        self._stack.push_async_callback(runner.cleanup)
+        for worker in self.workers.values():
+            server = await worker.start()
+            self._stack.callback(server.close)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.gateway is not None and self.gateway_task is not None:
+            self.gateway._stopped.set()
+            await asyncio.gather(self.gateway_task, return_exceptions=True)
+        await self._stack.aclose()
+
+    async def start_gateway(self, *, ready: bool = True) -> daemon.GatewayDaemon:
+        config = gateway_settings.GatewaySettings(
+            host_id="host-1",
+            zone="z1",
+            ingress_address=self.ingress,
+            readiness_address=self.readiness,
+            peer_address=settings.Address(HOST, free_port()),
+            metrics_address=self.metrics,
+            store_address=settings.Address.parse(self.store.address),
+        )
+        platform_store = store.PlatformStore.from_config(config.store_address)
+        adapter = daemon.Adapter(
+            source=platform_store,
+            requests=headers.PlatformHeaders(),
+            stages=stage_calls.PlatformStageCalls(),
+            reload=lambda: Ok(config),
+            close=platform_store.close,
+        )
+        output = decision_log.BoundedOutput()
+        self.gateway = daemon.GatewayDaemon.from_config(config, adapter, output)
+        self.gateway_task = asyncio.create_task(self.gateway.run())
+        while ready and not self.gateway.state.is_ready():
+            await asyncio.sleep(0.01)
+        while not self.gateway._listeners:
+            await asyncio.sleep(0.01)
+        return self.gateway
+
+    async def send(self, data: bytes, *, address: settings.Address | None = None) -> bytes:
+        """Sends bytes on a new connection; returns all that comes until it is closed."""
+        target = address or self.ingress
+        reader, writer = await asyncio.open_connection(target.ip, target.port)
+        writer.write(data)
+        try:
+            return await reader.read(-1)
+        except ConnectionError:
+            return b"reset"
+        finally:
+            writer.close()
+
+
+def request(
+    target: str,
+    request_id: str = "9c41",
+    *,
+    method: str = "POST",
+    key: str | None = KEY,
+    body: bytes = b"body",
+    **extra: str,
+) -> bytes:
+    """Returns a request that asks for the connection to be closed."""
+    fields = {
+        "Host": "h.example",
+        "Request-Id": request_id,
+        "Deadline-Remaining": "2000",
+        "Connection": "close",
+    }
+    if key is not None:
+        fields["Authorization"] = f"Bearer {key}"
+    if body:
+        fields["Content-Length"] = str(len(body))
+    fields |= {name.replace("_", "-"): value for name, value in extra.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"{method} {target} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Runs a test on the event loop that the product uses."""
+    uvloop.run(main())  # type: ignore[arg-type]
--- /dev/null
+++ b/testing/process/gateway/test_gateway_shares.py
@@ -0,0 +1,155 @@
+"""Guards sums over the fleet that no host can see: cold targets, repeats, copies of the store."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesamehold.process.gateway import cold_shares
+from sesamehold.process.gateway import hosts
+from sesamehold.process.gateway import repeat_budget
+from sesamehold.process.gateway import settings
+from sesamehold.process.gateway import store_replica
+from sesamehold.process.gateway import targets
+
+TARGET = targets.Target("i-1", 1, "s", "10.0.0.1:80", "z1")
+
+
+@pytest.mark.parametrize("host_count", [1, 3, 8, 12, 77, 1_000])
+@pytest.mark.parametrize("rate_per_s", [9.0, 22.0])
+def test_cold_target_gets_no_more_than_it_bears(host_count: int, rate_per_s: float) -> None:
+    """Guards against a cold target that falls over under one request from each host."""
+    addresses = [f"10.1.{index // 250}.{index % 250}:7" for index in range(host_count)]
+    shares = [cold_shares.ColdShares(address) for address in addresses]
+    for start_ms in (0, 400):
+        sent = sum(
+            share.try_take(TARGET, rate_per_s, addresses, start_ms + step)
+            for share in shares
+            for step in range(0, 600, 50)
+        )
+        assert sent <= rate_per_s
+    assert sent + 1 > 0
+
+
+def test_some_host_may_use_a_cold_target() -> None:
+    """Guards against a target that no host warms."""
+    addresses = [f"10.1.0.{index}:7" for index in range(40)]
+    taken = [
+        cold_shares.ColdShares(address).try_take(TARGET, 9.0, addresses, 0) for address in addresses
+    ]
+    assert any(taken)
+
+
+@pytest.mark.parametrize(
+    ("host_count", "requests"),
+    [
+        pytest.param(1, 0, id="alone"),
+        pytest.param(8, 100, id="small-fleet"),
+        pytest.param(77, 30, id="large-fleet"),
+    ],
+)
+def test_repeats_of_all_hosts_stay_within_the_budget(host_count: int, requests: int) -> None:
+    """Guards the operator's bound on repeated sends, summed over hosts that cannot talk."""
+    bounds = settings.FleetBounds(retry_ratio=0.2, retry_extra=56)
+    spent = 0
+    for _ in range(host_count):
+        budget = repeat_budget.RepeatBudget(bounds)
+        for index in range(requests):
+            budget.record_request("s", index)
+        spent += sum(budget.try_spend("s", host_count, 1_000) for _ in range(500))
+    assert spent <= 0.2 * requests * host_count + 56
+
+
+def test_repeats_are_allowed_again_after_the_window() -> None:
+    """Guards against a budget that is used up for good."""
+    budget = repeat_budget.RepeatBudget(settings.FleetBounds(retry_ratio=0.0, retry_extra=2))
+    assert [budget.try_spend("s", 1, 0) for _ in range(2)] == [True, False]
+    assert budget.try_spend("s", 1, 10_001)
+
+
+ITEMS = st.lists(
+    st.builds(
+        store_replica.StoreItem,
+        key=st.sampled_from(["p/a", "p/b", "p/c"]),
+        value=st.sampled_from([None, b"1", b"2"]),
+        revision=st.integers(1, 30),
+    ),
+    max_size=30,
+    unique_by=lambda item: item.revision,
+)
+
+
+@given(items=ITEMS, seed=st.integers(0, 1_000))
+def test_copies_agree_whatever_the_order(items: list[store_replica.StoreItem], seed: int) -> None:
+    """Guards against an older copy that takes a newer one back."""
+    shuffled = list(items)
+    random.Random(seed).shuffle(shuffled)
+    first = store_replica.StoreReplica("p/")
+    second = store_replica.StoreReplica("p/")
+    first.merge_changes(items, 30, 0)
+    for item in shuffled:
+        second.merge_changes([item], item.revision, 0)
+    second.merge_changes(shuffled, 30, 0)
+    assert first.items() == second.items()
+
+
+def test_listing_deletes_what_it_lacks_but_nothing_newer() -> None:
+    """Guards against targets that stay after a lost deletion, and ones dropped by an old page."""
+    replica = store_replica.StoreReplica("p/")
+    item = store_replica.StoreItem
+    replica.merge_changes([item("p/old", b"1", 3), item("p/new", b"1", 9)], 9, 0)
+    changed = replica.merge_listing(store_replica.StoreListing((), 5), 0)
+    assert [(entry.key, entry.value) for entry in changed] == [("p/old", None)]
+
+
+def test_deleted_key_does_not_come_back_from_an_older_copy() -> None:
+    """Guards against a target that another host still lists."""
+    replica = store_replica.StoreReplica("p/")
+    item = store_replica.StoreItem
+    replica.merge_changes([item("p/a", None, 8)], 8, 0)
+    assert replica.merge_changes([item("p/a", b"1", 5)], 5, 1_000) == []
+
+
+def _table(name: str, seeds: list[str]) -> hosts.HostTable:
+    return hosts.HostTable.create(name, "z1", 100, seeds, random.Random(name))
+
+
+def test_hosts_find_each_other_from_one_seed() -> None:
+    """Guards against parts of a fleet that never meet."""
+    names = [f"10.1.0.{index}:7" for index in range(30)]
+    tables = {name: _table(name, [names[0]]) for name in names}
+    for now_ms in range(0, 8_000, hosts.BEAT_MS):
+        for table in tables.values():
+            for address in table.beat((1, 1), now_ms):
+                other = tables[address]
+                other.merge(table.entries(now_ms), now_ms)
+                table.merge(other.entries(now_ms), now_ms)
+    assert all(len(table.alive(8_000)) == 29 for table in tables.values())
+
+
+@pytest.mark.parametrize(
+    ("beat", "expected"),
+    [
+        pytest.param(hosts.HostBeat("b", 1, 5, "z", horizons=(1, 1)), ["b", "a"], id="alive"),
+        pytest.param(hosts.HostBeat("b", 1, 5, "z", True, (1, 1)), ["a"], id="leaving"),
+        pytest.param(hosts.HostBeat("b", 1, 5, "z", horizons=(1, 0)), ["a"], id="knows-nothing"),
+    ],
+)
+def test_hosts_that_may_take_shared_work(beat: hosts.HostBeat, expected: list[str]) -> None:
+    """Guards against stages handed to a host that leaves or has no configuration."""
+    table = _table("a", [])
+    table.merge([beat], 0)
+    assert table.workers(0) == expected
+    assert table.workers(hosts.SILENCE_MS + 1) == ["a"]
+
+
+def test_avoided_host_is_used_again_later() -> None:
+    """Guards against giving up a host for good after one failure."""
+    table = _table("a", [])
+    table.merge([hosts.HostBeat("b", 1, 5, "z", horizons=(1, 1))], 0)
+    table.avoid("b", 500)
+    assert table.workers(100) == ["a"]
+    assert table.workers(600) == ["b", "a"]
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -19,9 +19,18 @@
     "sesamehold.request.deadline",
     "sesamehold.request.execution",
     "sesamehold.request.calls",
+    "sesamehold.request.gateway.messages",
+    "sesamehold.request.gateway.ports",
 }
 # The modules that put the parts of a process together.
-COMPOSITION_ROOTS = {"process/components.py", "process/daemon.py", "process/cli.py"}
+COMPOSITION_ROOTS = {
+    "process/components.py",
+    "process/daemon.py",
+    "process/cli.py",
+    "process/gateway/daemon.py",
+}
+# The adapter translates between the platform's formats and the types of all four packages.
+ADAPTER = "platform"
 FORBIDDEN = {"threading", "multiprocessing", "subprocess", "concurrent.futures", "dataclasses"}
 TRANSPORTS = {"aiohttp", "grpclib", "asyncio"}
 
@@ -48,7 +57,7 @@
 @pytest.mark.parametrize("path", _modules(), ids=lambda path: str(path.relative_to(ROOT)))
 def test_longer_life_does_not_import_shorter_life(path: pathlib.Path) -> None:
     relative = str(path.relative_to(ROOT))
-    if relative in COMPOSITION_ROOTS or path.parent == ROOT:
+    if relative in COMPOSITION_ROOTS or path.parent == ROOT or path.parent.name == ADAPTER:
         return
     own = ORDER.index(path.relative_to(ROOT).parts[0])
     for name in _imports(path):
@@ -121,6 +130,22 @@
         "process/ledger_replication.py",
         "process/partner_split.py",
         "process/settings.py",
+        "process/gateway/cold_shares.py",
+        "process/gateway/directory_events.py",
+        "process/gateway/hosts.py",
+        "process/gateway/repeat_budget.py",
+        "process/gateway/route_pace.py",
+        "process/gateway/settings.py",
+        "process/gateway/sliding_window.py",
+        "process/gateway/stage_job.py",
+        "process/gateway/stage_scheduler.py",
+        "process/gateway/store_replica.py",
+        "process/gateway/target_choice.py",
+        "process/gateway/targets.py",
+        "request/gateway/attempts.py",
+        "request/gateway/event_stream.py",
+        "request/gateway/messages.py",
+        "version/routing.py",
         "version/constraints.py",
         "version/difference.py",
         "version/model_schema.py",
@@ -132,3 +157,40 @@
 def test_decisions_import_no_transport(module: str) -> None:
     roots = {name.split(".")[0] for name in _imports(ROOT / module)}
     assert not roots & TRANSPORTS
+
+
+def _wire_names() -> set[str]:
+    """Returns the header names and paths that only the adapter may know."""
+    texts: set[str] = set()
+    for item in ast.walk(ast.parse((ROOT / ADAPTER / "names.py").read_text())):
+        if isinstance(item, ast.Constant) and isinstance(item.value, (bytes, str)):
+            value = item.value
+            text = value.decode() if isinstance(value, bytes) else value
+            # "model", "hold" and the like are words of the field, too.
+            if "-" in text or "/" in text or "_" in text:
+                texts.add(text.lower())
+    return texts
+
+
+@pytest.mark.parametrize(
+    "path",
+    [path for path in _modules() if path.parent.name != ADAPTER],
+    ids=lambda path: str(path.relative_to(ROOT)),
+)
+def test_only_the_adapter_knows_the_platform(path: pathlib.Path) -> None:
+    """Guards against names of the platform that spread into the product."""
+    assert not any(name.startswith("sesamehold.platform") for name in _imports(path))
+    shared = {"authorization"}
+    texts = {
+        item.value.lower() if isinstance(item.value, str) else item.value.decode("latin-1").lower()
+        for item in ast.walk(ast.parse(path.read_text()))
+        if isinstance(item, ast.Constant) and isinstance(item.value, (bytes, str))
+    }
+    assert not texts & (_wire_names() - shared)
+
+
+def test_adapter_is_small() -> None:
+    """Guards against decisions that move into the adapter."""
+    lines = {path: len(path.read_text().splitlines()) for path in _modules()}
+    adapter = sum(count for path, count in lines.items() if path.parent.name == ADAPTER)
+    assert adapter * 10 < sum(lines.values())
