--- a/src/sesamehold/process/cli.py
+++ b/src/sesamehold/process/cli.py
@@ -24,6 +24,7 @@
 from sesamehold.process import cli_fleet
 from sesamehold.process import cli_hosts
 from sesamehold.process import cli_output
+from sesamehold.process import cli_story
 
 app = cyclopts.App(name="sesamehold", help=__doc__, result_action="return_value")
 app.register_install_completion_command()
@@ -71,6 +72,12 @@
     return cli_output.emit(cli_check.schemas(of_settings=settings), as_json=as_json)
 
 
+@app.command
+def story(request_id: str, files: tuple[pathlib.Path, ...], *, as_json: AsJson = False) -> int:
+    """Shows what became of a forwarded request, from log files of gateway hosts."""
+    return cli_output.emit(cli_story.story(request_id, files), as_json=as_json)
+
+
 @app.command
 def status(
     *,
--- a/testing/process/test_pages.py
+++ b/testing/process/test_pages.py
@@ -71,7 +71,8 @@
     for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
         assert (page.parent / link).exists(), link
     commands = set(re.findall(r"`sesamehold (\w+)", text))
-    assert commands <= {"check", "diff", "schema", "status", "dump", "drain", "explain", "costs"}
+    known = {"check", "diff", "schema", "status", "dump", "drain", "explain", "costs", "story"}
+    assert commands <= known
     if page.parent.name == "operations":
         patterns = [name.replace("*", r"[\w-]+") for name in _counted_names()]
         prefixes = {name.partition(".")[0] for name in _counted_names()}
@@ -193,3 +194,31 @@
     }
     # The page names the parts of the command line by a pattern.
     assert {name for name in modules if not name.startswith("cli_")} == listed
+
+
+def _logged_events() -> set[str]:
+    events = set()
+    for path in SOURCE.rglob("*.py"):
+        for item in ast.walk(ast.parse(path.read_text())):
+            if isinstance(item, ast.Call) and isinstance(item.func, ast.Attribute):
+                is_log = item.func.attr in {"_log", "write"} and item.args
+                if is_log and isinstance(item.args[0], ast.Constant):
+                    value = item.args[0].value
+                    if isinstance(value, str) and re.fullmatch(r"[a-z]+\.[a-z-]+", value):
+                        events.add(value)
+    return events | {"log.suppressed"}
+
+
+def test_every_event_of_the_gateway_is_listed() -> None:
+    """Guards against a log line that operators do not know, or look for in vain."""
+    page = (ROOT / "docs" / "gateway-reference.md").read_text()
+    listed = set(re.findall(r"^\| `([a-z]+\.[a-z-]+)` ", page, re.M))
+    assert _logged_events() == listed
+
+
+def test_every_metric_of_the_gateway_is_listed() -> None:
+    """Guards against metrics that no page explains."""
+    page = (ROOT / "docs" / "gateway-reference.md").read_text()
+    listed = set(re.findall(r"^\| `(sesamehold_[a-z_]+)` ", page, re.M))
+    source = (SOURCE / "process" / "gateway" / "measures.py").read_text()
+    assert set(re.findall(r'"(sesamehold_[a-z_]+)"', source)) == listed
