Do not take a reset for the end of an answer without a length

Ruled out: a missing check of stated lengths; short bodies with a length were already found. Change: a subclass notes how the connection ended; an answer without a length that was reset is broken.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -65,9 +65,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
 
 
+class TargetProtocol(client_proto.ResponseHandler):
+    """Response protocol that tells a reset from an orderly end.
+
+    The base class takes either for the end of an answer whose length is not stated.
+    """
+
+    was_reset: bool = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Notes how the connection ended."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
 @attrs.define(eq=False)
 class _Connection:
-    protocol: client_proto.ResponseHandler
+    protocol: TargetProtocol
     incarnation: str
     idle_since_ms: int = 0
     idle_limit_ms: int = DEFAULT_IDLE_MS
@@ -89,6 +103,7 @@
     _address: str
     _connection: _Connection
     _payload: streams.StreamReader
+    _ends_with_connection: bool
     head: messages.AnswerHead
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -97,10 +112,12 @@
             while True:
                 data = await self._payload.readany()
                 if not data:
-                    return
+                    break
                 yield data
         except _BROKEN as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
+        if self._ends_with_connection and self._connection.protocol.was_reset:
+            raise ports.BrokenAnswerError("reset before the end of the answer")
 
     def release(self) -> None:
         """Gives the connection back if the answer was read to its end, else closes it."""
@@ -206,7 +223,7 @@
         ip, _, port = target.address.rpartition(":")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, protocol = await loop.create_connection(
-                lambda: client_proto.ResponseHandler(loop), ip, int(port)
+                lambda: TargetProtocol(loop), ip, int(port)
             )
         self.opened_count += 1
         watch_peer(transport.get_extra_info("socket"))
@@ -224,7 +241,10 @@
                 head = self._codec.answer_head(message.code, tuple(message.raw_headers))
                 if head.request_id is None or request_id is None or head.request_id == request_id:
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
-                    return Ok(PooledAnswer(self, target.address, connection, payload, head))
+                    unframed = head.content_length is None and not message.chunked
+                    return Ok(
+                        PooledAnswer(self, target.address, connection, payload, unframed, head)
+                    )
                 # A late answer to an earlier request; the answer to this one follows it.
                 while await payload.readany():
                     pass
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -38,6 +38,21 @@
     exchange.writer.close()
 
 
+async def _unframed_reset(exchange: Exchange) -> None:
+    exchange.write_head(200, {"Request-Id": exchange.request_id, "Server-Seal": "s"})
+    exchange.writer.write(b"only a part")
+    await exchange.writer.drain()
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
+async def _unframed(exchange: Exchange) -> None:
+    exchange.write_head(200, {"Request-Id": exchange.request_id, "Server-Seal": "s"})
+    exchange.writer.write(b"answer")
+    await exchange.writer.drain()
+    exchange.writer.close()
+
+
 async def _not_http(exchange: Exchange) -> None:
     exchange.writer.write(b"\x00\x01 nothing like HTTP\r\n\r\n")
 
@@ -96,6 +111,9 @@
         pytest.param("idempotent", _reset, 200, 2, id="safe-reset"),
         pytest.param("idempotent", _close, 200, 2, id="safe-closed"),
         pytest.param("idempotent", _short, 200, 2, id="safe-short-body"),
+        pytest.param("idempotent", _unframed_reset, 200, 2, id="safe-reset-without-length"),
+        pytest.param("idempotent", _unframed, 200, 1, id="safe-whole-without-length"),
+        pytest.param("non_idempotent", _unframed_reset, 502, 1, id="unsafe-reset-without-length"),
         pytest.param("idempotent", _unsigned, 200, 2, id="safe-unsigned"),
         pytest.param("idempotent", _encoded, 200, 2, id="safe-encoded"),
         pytest.param("idempotent", _not_http, 200, 2, id="safe-not-http"),
