Refuse requests that come long after a stop began

Change: 2.6 s after SIGTERM idle connections are closed and new requests get 503, which is true, with the next try after 20 ms; the process ends as soon as nothing runs. aiohttp's soft close leaves idle connections open, so the listener closes them.

--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -24,6 +24,14 @@
 
     __slots__ = ()
 
+    def close(self) -> None:
+        """Closes the connection, after the current request if there is one."""
+        is_idle = self._waiter is not None
+        super().close()
+        # The base class only ends the task that waits for a request.
+        if is_idle and self.transport is not None:
+            self.transport.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -117,6 +125,12 @@
         """Closes the listening socket; open connections go on."""
         self._server.close()
 
+    def close_idle(self) -> None:
+        """Closes connections without a request, and the others after their request."""
+        if self._runner.server is not None:
+            for connection in list(self._runner.server.connections):
+                connection.close()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._server.close()
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -155,10 +155,12 @@
         clock = self.state.clock
         started_ms = clock.now_ms()
         end_ms = started_ms + self.state.config.bounds.grace_ms - CLOSE_RESERVE_MS
-        while clock.now_ms() < end_ms:
-            open_work = self.state.open_requests + len(self._stages)
-            if not open_work and clock.now_ms() - started_ms >= BALANCER_LAG_MS:
-                break
+        await asyncio.sleep(BALANCER_LAG_MS / _MS_PER_S)
+        # Callers that still come could not be served before the end.
+        self.state.closed = True
+        for listener in self._listeners:
+            listener.close_idle()
+        while clock.now_ms() < end_ms and self.state.open_requests + len(self._stages):
             await asyncio.sleep(TICK_S)
         self._stopped.set()
 
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -39,6 +39,7 @@
         suspects: Requests that seem to crash targets.
         table: Routing table in force, None until one is known.
         stopping: Whether a graceful shutdown has begun.
+        closed: Whether new requests are refused, because the process is about to end.
         open_requests: Requests of callers that have no final answer yet.
     """
 
@@ -56,6 +57,7 @@
     suspects: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
     table: routing.RoutingTable | None = None
     stopping: bool = False
+    closed: bool = False
     open_requests: int = 0
 
     @classmethod
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -159,6 +159,7 @@
     """Why the gateway gives an answer of its own."""
 
     NO_CONFIGURATION = "no-configuration"
+    STOPPING = "stopping"
     NO_ROUTE = "no-route"
     UNKNOWN_KEY = "unknown-key"
     MALFORMED = "malformed"
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -24,6 +24,8 @@
 # Targets that end are back, or replaced, within a few hundred milliseconds at best.
 NO_TARGET_RETRY_MS = 400
 NO_CONFIGURATION_RETRY_MS = 500
+# The caller's next try goes to another host.
+STOPPING_RETRY_MS = 20
 # Spread of the times at which callers come back, so that they do not come together.
 RETRY_SPREAD = 0.5
 # Part of a route's aim for which a request may wait for a target; longer waits only add load.
@@ -127,6 +129,8 @@
         state = self._parts.state
         head = self._incoming.head
         table = state.table
+        if state.closed:
+            return self._not_run(messages.Reason.STOPPING, STOPPING_RETRY_MS)
         if table is None:
             return self._not_run(messages.Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_MS)
         route = table.find_route(head.host, head.path)
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -429,6 +429,35 @@
     stand_in.run(main)
 
 
+def test_request_long_after_the_stop_began_is_refused_at_once() -> None:
+    """Guards against requests that are taken and then cut by the end of the process."""
+
+    async def main() -> None:
+        async def slow(exchange: Exchange) -> None:
+            await asyncio.sleep(4.0)
+            exchange.send(200, b"answer")
+
+        site = _site("non_idempotent", [slow], timeoutMs=10_000)
+        async with site:
+            gateway = await site.start_gateway()
+            data = stand_in.request("/svc/x", Deadline_Remaining="9000")
+            running = asyncio.create_task(site.send(data))
+            while not site.workers["i-0"].exchanges:
+                await asyncio.sleep(0.01)
+            reader, idle = await asyncio.open_connection(site.ingress.ip, site.ingress.port)
+            gateway.start_drain()
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            idle.close()
+            answer = await site.send(stand_in.request("/svc/x", "r2"))
+            assert _status(answer) == 503
+            assert b"Connection: close" in answer
+            assert (await running).endswith(b"answer")
+            assert len(site.workers["i-0"].exchanges) == 1
+
+    stand_in.run(main)
+
+
 def test_stop_finishes_what_runs() -> None:
     """Guards requests against a planned stop, and the readiness that takes the host out."""
 
