--- a/src/sesamehold/platform/boot.py
+++ b/src/sesamehold/platform/boot.py
@@ -41,8 +41,6 @@
     budgetRatio: float = 0.1  # noqa: N815
     budgetWindowS: float = 10.0  # noqa: N815
     budgetExtraAttempts: int = 10  # noqa: N815
-    passMs: int = 120  # noqa: N815
-    contactMs: int = 3_000  # noqa: N815
 
 
 @attrs.frozen
@@ -112,7 +110,5 @@
             retry_ratio=boot.bounds.budgetRatio,
             retry_window_ms=int(boot.bounds.budgetWindowS * _MS_PER_S),
             retry_extra=boot.bounds.budgetExtraAttempts,
-            relay_bound_ms=boot.bounds.passMs,
-            store_silence_ms=boot.bounds.contactMs,
         ),
     )
--- a/src/sesamehold/process/gateway/settings.py
+++ b/src/sesamehold/process/gateway/settings.py
@@ -16,17 +16,12 @@
         retry_ratio: Repeated sends to a service per request for it, over all hosts.
         retry_window_ms: Window over which repeated sends are summed.
         retry_extra: Repeated sends of a window that need no requests, over all hosts.
-        relay_bound_ms: Longest time from the making of an event to its delivery.
-        store_silence_ms: Time without an answer of the configuration store after which beliefs
-            about targets count as old.
     """
 
     grace_ms: int = 8_000
     retry_ratio: float = 0.1
     retry_window_ms: int = 10_000
     retry_extra: int = 10
-    relay_bound_ms: int = 120
-    store_silence_ms: int = 3_000
 
 
 @attrs.frozen
