--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -12,6 +12,7 @@
 from expression import Result
 
 from sesamehold.process.gateway import stage_scheduler
+from sesamehold.process.gateway import stage_workers
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import ports
@@ -124,7 +125,7 @@
             self._schedule(delay_ms / _MS_PER_S)
         self._schedule_free()
 
-    async def _call(self, call: stage_scheduler.Call) -> None:
+    async def _call(self, call: stage_workers.Call) -> None:
         self._state.measures.stage_call_pieces.labels(call.target.service).observe(len(call.pieces))
         loop = asyncio.get_running_loop()
         reading = loop.call_later(INPUT_READ_S, self._on_inputs_read, call)
@@ -144,15 +145,15 @@
         self._settle(finished)
         self._schedule(0.0)
 
-    def _on_inputs_read(self, call: stage_scheduler.Call) -> None:
+    def _on_inputs_read(self, call: stage_workers.Call) -> None:
         self._scheduler.on_inputs_read(call, self._state.clock.now_ms())
         self._schedule_free()
 
     async def _exchange(
-        self, call: stage_scheduler.Call
+        self, call: stage_workers.Call
     ) -> Result[list[ports.PieceResult], stage_scheduler.CallFault]:
         request = self._codec.run_call(call.target, call.orders)
-        timeout_s = call.expected_ms * stage_scheduler.ABANDON_FACTOR / _MS_PER_S
+        timeout_s = call.expected_ms * stage_workers.ABANDON_FACTOR / _MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
                 sent = await self._client.send(call.target, request, None, reuse=True)
@@ -167,7 +168,7 @@
             return Error(stage_scheduler.CallFault("timeout", worked=True, reachable=False))
 
     async def _read(
-        self, call: stage_scheduler.Call, answer: ports.TargetAnswer
+        self, call: stage_workers.Call, answer: ports.TargetAnswer
     ) -> Result[list[ports.PieceResult], stage_scheduler.CallFault]:
         fault = stage_scheduler.CallFault
         try:
@@ -228,7 +229,7 @@
         self._state.log.write("stage.free-failed", target=target.target_id, fault=fault)
 
     def _log_call(
-        self, call: stage_scheduler.Call, now_ms: int, outcome: str, **fields: object
+        self, call: stage_workers.Call, now_ms: int, outcome: str, **fields: object
     ) -> None:
         self._state.log.write(
             "stage.call",
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sesamehold.process.gateway import stage_scheduler
+from sesamehold.process.gateway import stage_workers
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
@@ -37,11 +38,11 @@
     def submit(self, request_id: str, now_ms: int = 0, **changes: Any) -> object:
         return self.scheduler.submit(_request(request_id, **changes), now_ms)
 
-    def plan(self, now_ms: int) -> list[stage_scheduler.Call]:
+    def plan(self, now_ms: int) -> list[stage_workers.Call]:
         calls, _ = self.scheduler.plan(now_ms)
         return calls
 
-    def done(self, call: stage_scheduler.Call, now_ms: int) -> list[stage_scheduler.Finished]:
+    def done(self, call: stage_workers.Call, now_ms: int) -> list[stage_scheduler.Finished]:
         results = [
             ports.PieceResult(
                 f"{call.target.address}/{o.request_id}-{o.stage_index}-{o.piece_index}"
