Give shared work to the strongest hosts; follow the store with one watch

Change: hosts gossip their processor time, shared work goes to hosts with at least three quarters of the strongest one's, and every datagram tells of the eight strongest hosts. One watch over all keys of the store, with 2 s of wait; after a change the next watch begins 150 ms later. Answers to gossip are reused for a quarter of a beat.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -27,6 +27,8 @@
 AVOID_MS = 2_000
 # Hosts that are asked for one request before it is refused.
 MAX_STAGE_HOSTS = 4
+# An answer to a rumour is sent again to others that ask within a quarter of a beat.
+ANSWER_REUSE_MS = hosts.BEAT_MS // 4
 FETCH_INTERVAL_S = 0.25
 FETCH_TIMEOUT_S = 1.0
 _MS_PER_S = 1_000
@@ -44,6 +46,7 @@
     _server: grpc_server.Server = attrs.field(init=False)
     _links: dict[str, stage_link.StageLink] = attrs.field(factory=dict)
     _owners: dict[str, str] = attrs.field(factory=dict)
+    _last_answer: tuple[int, gossip.Rumour] | None = None
 
     def __attrs_post_init__(self) -> None:
         self._endpoint = gossip.GossipEndpoint(self._on_rumour)
@@ -80,6 +83,14 @@
         chosen = self._state.hosts.leave()
         self._endpoint.send(chosen, self._rumour(self._state.clock.now_ms()))
 
+    def _answer(self, now_ms: int) -> gossip.Rumour:
+        """Returns the answer to a rumour; many may be asked for at the same time."""
+        made_ms, rumour = self._last_answer or (0, None)
+        if rumour is None or now_ms - made_ms > ANSWER_REUSE_MS:
+            rumour = self._rumour(now_ms)
+            self._last_answer = (now_ms, rumour)
+        return rumour
+
     def _rumour(self, now_ms: int, *, wants_answer: bool = False) -> gossip.Rumour:
         beats = tuple(self._state.hosts.entries(now_ms))
         found = tuple(self._state.suspects.export(now_ms)[-gossip.MAX_SUSPICIONS :])
@@ -91,7 +102,7 @@
             self._state.log.write("host.appeared", peer=address)
         self._state.suspects.merge(rumour.suspicions, now_ms)
         if rumour.wants_answer:
-            self._endpoint.send([source], self._rumour(now_ms))
+            self._endpoint.send([source], self._answer(now_ms))
 
     # ---- stages --------------------------------------------------------------------------------
 
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -52,6 +52,7 @@
             zone=beat.zone,
             leaving=beat.leaving,
             horizons=beat.horizons,
+            core_count=beat.core_count,
         )
     while len(wire.hosts) > 1 and wire.ByteSize() > MAX_SIZE_BYTES:
         wire.hosts.pop()
@@ -72,6 +73,7 @@
             zone=item.zone,
             leaving=item.leaving,
             horizons=tuple(item.horizons),
+            core_count=item.core_count,
         )
         for item in wire.hosts
     )
@@ -93,6 +95,7 @@
     on_rumour: Callable[[Rumour, str], None]
     malformed_count: int = 0
     _transport: asyncio.DatagramTransport | None = None
+    _encoded: tuple[Rumour, bytes] | None = None
 
     async def start(self, address: settings.Address) -> None:
         """Binds the socket."""
@@ -103,7 +106,9 @@
         """Sends one datagram to each address; a lost one is made up for by the next beat."""
         if self._transport is None:
             return
-        data = encode(rumour)
+        if self._encoded is None or self._encoded[0] is not rumour:
+            self._encoded = (rumour, encode(rumour))
+        data = self._encoded[1]
         for text in addresses:
             address = settings.Address.parse(text)
             self._transport.sendto(data, (address.ip, address.port))
--- a/src/sesamehold/platform/names.py
+++ b/src/sesamehold/platform/names.py
@@ -34,6 +34,5 @@
 STORE_WATCH_PATH = "/-/kv-watch"
 
 TARGET_KEYS = "servers/"
-OPERATOR_KEYS = "op/"
 CONFIGURATION_KEY = "op/config"
 EVACUATION_KEYS = "op/evacuate/"
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -21,6 +21,8 @@
 
 # The store answers in milliseconds; slowed down sixtyfold it takes 240 ms.
 READ_TIMEOUT_S = 1.0
+# A watch that is silent for this long after its time has lost its connection.
+WATCH_TIMEOUT_S = 0.7
 _MS_PER_S = 1_000
 _STATUS_GONE = 410
 
@@ -43,8 +45,11 @@
         await self._session.close()
 
     def prefixes(self) -> tuple[str, ...]:
-        """Returns the prefixes that the operator and the workers write below."""
-        return (names.OPERATOR_KEYS, names.TARGET_KEYS)
+        """Returns the prefixes to follow.
+
+        All keys of the store are followed at once, because every call is priced.
+        """
+        return ("",)
 
     def decode(
         self, item: store_replica.StoreItem, now_ms: int
@@ -91,7 +96,7 @@
             "after": str(after_revision),
             "waitMs": str(wait_ms),
         }
-        timeout_s = READ_TIMEOUT_S + wait_ms / _MS_PER_S
+        timeout_s = WATCH_TIMEOUT_S + wait_ms / _MS_PER_S
         match await self._get(names.STORE_WATCH_PATH, parameters, timeout_s):
             case Result(tag="ok", ok=document):
                 pass
--- a/src/sesamehold/process/gateway/directory_follower.py
+++ b/src/sesamehold/process/gateway/directory_follower.py
@@ -13,8 +13,12 @@
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import store_replica
 
-# A watch whose connection has gone silent is replaced after this time and the read time-out.
-WATCH_MS = 1_500
+# A watch whose connection has gone silent is replaced after this time and the read time-out; both
+# together stay below the 3 s after which the operator's bounds hold again.
+WATCH_MS = 2_000
+# Changes often come together, and every call of the store is priced: the next watch begins this
+# much later after a change. The operator's bounds for changes are 2 s and more.
+GATHER_MS = 150
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
 # Without an answer for this long the store counts as lost; longer than its slowest answers.
@@ -55,6 +59,7 @@
     replicas: dict[str, store_replica.StoreReplica] = attrs.field(init=False)
     _contacts: dict[str, _Contact] = attrs.field(init=False)
     _lapsing: dict[str, asyncio.TimerHandle] = attrs.field(factory=dict)
+    _gather_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         prefixes = self._source.prefixes()
@@ -76,6 +81,7 @@
                 listed = watched is not _Watched.HISTORY_LOST
             if ok:
                 backoff_ms = RETRY_MIN_MS
+                await asyncio.sleep(self._gather_ms / _MS_PER_S)
                 continue
             self._note_failure(prefix)
             spread = 0.5 + self._state.rng.random()
@@ -117,6 +123,7 @@
         if answer.is_ok():
             self._note_answer(prefix)
             listing = answer.ok
+            self._gather_ms = GATHER_MS if listing.items else 0
             now_ms = self._state.clock.now_ms()
             self._apply(replica.merge_changes(listing.items, listing.revision, now_ms))
             return _Watched.ANSWERED
--- a/src/sesamehold/process/gateway/hosts.py
+++ b/src/sesamehold/process/gateway/hosts.py
@@ -19,7 +19,11 @@
 # Hosts that have been silent for longer are no longer counted as possibly running.
 FORGET_MS = 60_000
 # Hosts in one datagram of at most 1,200 bytes.
-MAX_ENTRIES = 24
+MAX_ENTRIES = 22
+# The strongest hosts are in every datagram, so that all hosts agree on which of them are alive.
+MAX_STRONGEST = 8
+# Shared work goes to hosts with at least this part of the processor time of the strongest one.
+STRONG_FRACTION = 0.75
 
 
 @attrs.frozen
@@ -33,6 +37,7 @@
         zone: Availability zone.
         leaving: Whether it is in a graceful shutdown.
         horizons: Revision of the store up to which it knows all changes, by prefix.
+        core_count: Processor time that it has, in cores.
     """
 
     address: str
@@ -41,6 +46,7 @@
     zone: str
     leaving: bool = False
     horizons: tuple[int, ...] = ()
+    core_count: float = 1.0
 
 
 @attrs.define
@@ -71,9 +77,11 @@
         incarnation: int,
         seeds: Iterable[str],
         rng: random.Random,
+        *,
+        core_count: float = 1.0,
     ) -> HostTable:
         """Returns the table of a host that knows only seeds."""
-        own = HostBeat(address, incarnation, 0, zone)
+        own = HostBeat(address, incarnation, 0, zone, core_count=core_count)
         return cls(own, rng, set(seeds) - {address})
 
     def add_seeds(self, seeds: Iterable[str]) -> None:
@@ -97,10 +105,13 @@
         return list(self._known)
 
     def entries(self, now_ms: int) -> list[HostBeat]:
-        """Returns what to pass on: this host and a sample of the ones that are alive."""
+        """Returns what to pass on: this host, the strongest ones alive and a sample of the rest."""
         alive = [known.beat for known in self._known.values() if self._fresh(known, now_ms)]
-        sample = self._rng.sample(alive, min(MAX_ENTRIES - 1, len(alive)))
-        return [self.own, *sample]
+        self._rng.shuffle(alive)
+        alive.sort(key=lambda beat: -beat.core_count)
+        strongest, rest = alive[:MAX_STRONGEST], alive[MAX_STRONGEST:]
+        count = min(MAX_ENTRIES - 1 - len(strongest), len(rest))
+        return [self.own, *strongest, *self._rng.sample(rest, count)]
 
     def merge(self, beats: Iterable[HostBeat], now_ms: int) -> list[str]:
         """Takes over what another host passed on; returns the addresses of new hosts."""
@@ -131,9 +142,9 @@
         self._avoided_until_ms[address] = until_ms
 
     def workers(self, now_ms: int) -> list[str]:
-        """Returns the hosts, this one included, that may take shared work."""
-        chosen = [
-            address
+        """Returns the hosts, this one included, that shared work goes to: the strongest ones."""
+        able = [
+            known.beat
             for address, known in self._known.items()
             if self._fresh(known, now_ms)
             and known.beat.horizons
@@ -141,9 +152,10 @@
             and not known.beat.leaving
             and self._avoided_until_ms.get(address, 0) <= now_ms
         ]
-        if not self.own.leaving or not chosen:
-            chosen.append(self.own.address)
-        return chosen
+        if not self.own.leaving or not able:
+            able.append(self.own)
+        least = STRONG_FRACTION * max(beat.core_count for beat in able)
+        return [beat.address for beat in able if beat.core_count >= least]
 
     def known_addresses(self, now_ms: int) -> list[str]:
         """Returns all hosts that may be running, this one included."""
--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -109,9 +109,7 @@
     def hopeless(self, now_ms: int) -> list[stage_job.Job]:
         """Returns the jobs that cannot be finished in time any more."""
         self._refresh()
-        return [
-            entry.job for entry in self._entries.values() if now_ms > entry.hopeless_after_ms
-        ]
+        return [entry.job for entry in self._entries.values() if now_ms > entry.hopeless_after_ms]
 
     def waiting_pieces(self, service: str) -> int:
         """Returns how many pieces could be done by a service now and are in no call."""
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -134,9 +134,7 @@
                 finished.append(Finished(job))
         return finished
 
-    def on_fault(
-        self, call: stage_workers.Call, fault: CallFault, now_ms: int
-    ) -> list[Finished]:
+    def on_fault(self, call: stage_workers.Call, fault: CallFault, now_ms: int) -> list[Finished]:
         """Takes over that a call gave no results; returns the jobs that failed with it."""
         worker = self._workers.remove_call(call)
         avoid_ms = FULL_MS if fault.reachable else UNREACHABLE_MS
--- a/src/sesamehold/process/gateway/stage_workers.py
+++ b/src/sesamehold/process/gateway/stage_workers.py
@@ -149,5 +149,7 @@
 
     def next_wake_ms(self) -> float | None:
         """Returns when an overdue call needs attention, None if no call runs."""
-        times = [call.abandon_at_ms if call.overdue else call.overdue_at_ms for call in self.calls()]
+        times = [
+            call.abandon_at_ms if call.overdue else call.overdue_at_ms for call in self.calls()
+        ]
         return min(times, default=None)
--- a/testing/platform/test_directory.py
+++ b/testing/platform/test_directory.py
@@ -140,3 +140,22 @@
             assert _usable(gateway) == {"i-0", "i-1"}
 
     stand_in.run(main)
+
+
+def test_changes_that_come_together_share_a_call() -> None:
+    """Guards the price of calls against one call for each of many changes."""
+
+    async def main() -> None:
+        site = _site(count=9)
+        async with site:
+            gateway = await site.start_gateway()
+            await _until(lambda: len(_usable(gateway)) == 9)
+            calls = len(site.store.calls)
+            for index in range(8):
+                site.register(f"i-{index}", "svc", state="draining")
+                await asyncio.sleep(0.005)
+            await _until(lambda: _usable(gateway) == {"i-8"})
+            # The watch that waits, the one with the rest, and the next one.
+            assert len(site.store.calls) - calls <= 3
+
+    stand_in.run(main)
--- a/testing/process/gateway/test_gateway_shares.py
+++ b/testing/process/gateway/test_gateway_shares.py
@@ -153,3 +153,36 @@
     table.avoid("b", 500)
     assert table.workers(100) == ["a"]
     assert table.workers(600) == ["b", "a"]
+
+
+def _beat(name: str, core_count: float) -> hosts.HostBeat:
+    return hosts.HostBeat(name, 1, 5, "z", horizons=(1,), core_count=core_count)
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "expected"),
+    [
+        pytest.param(0.5, {"b": 2.0, "c": 0.5, "d": 1.8}, ["b", "d"], id="strong-hosts-only"),
+        pytest.param(2.0, {"b": 0.5}, ["a"], id="this-host-is-the-strongest"),
+        pytest.param(0.5, {"b": 0.5, "c": 0.45}, ["b", "c", "a"], id="all-alike"),
+    ],
+)
+def test_shared_work_goes_to_the_strongest_hosts(
+    own: float, others: dict[str, float], expected: list[str]
+) -> None:
+    """Guards against a fleet that waits for a host with a small part of a core."""
+    table = hosts.HostTable.create("a", "z1", 1, [], random.Random(1), core_count=own)
+    table.merge([_beat(name, cores) for name, cores in others.items()], 0)
+    assert table.workers(0) == expected
+
+
+def test_every_datagram_tells_of_the_strongest_hosts() -> None:
+    """Guards against hosts that disagree on which of the strong hosts are alive."""
+    table = _table("a", [])
+    strong = [f"s{index}" for index in range(hosts.MAX_STRONGEST)]
+    table.merge([_beat(f"w{index}", 0.5) for index in range(60)], 0)
+    table.merge([_beat(name, 2.0) for name in strong], 0)
+    for _ in range(10):
+        entries = table.entries(0)
+        assert len(entries) == hosts.MAX_ENTRIES
+        assert {beat.address for beat in entries[1:]} >= set(strong)
