Hand the stages of requests over when the host in charge changes

A host that stopped kept its jobs, and a host that died lost all that had been made.

Ruled out: the order of steps.

Change: of the strongest hosts the one that has run for longest is in charge. It tells the asking hosts which results exist; they give them to the next host after a loss. A host that leaves, or is led by another one for a second, hands its jobs over once their running calls have ended.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -19,9 +19,9 @@
 from sesamehold.process import settings
 from sesamehold.process.gateway import directory_follower
 from sesamehold.process.gateway import hosts
+from sesamehold.process.gateway import stage_pool
 from sesamehold.process.gateway import state as states
 from sesamehold.request.gateway import ports
-from sesamehold.version import rendezvous
 
 # A host that was lost, or that cannot do stages yet, is not asked again for this long.
 AVOID_MS = 2_000
@@ -29,10 +29,12 @@
 MAX_STAGE_HOSTS = 4
 # An answer to a rumour is sent again to others that ask within a quarter of a beat.
 ANSWER_REUSE_MS = hosts.BEAT_MS // 4
+# A host that another one has led for this long hands its stages over; views of the fleet differ for
+# about two beats.
+LED_MS = 1_000
 FETCH_INTERVAL_S = 0.25
 FETCH_TIMEOUT_S = 1.0
 _MS_PER_S = 1_000
-_OWNER_KEY = "stages"
 
 
 @attrs.define(eq=False)
@@ -40,17 +42,18 @@
     """This host's part in the fleet."""
 
     _state: states.GatewayState
-    _local: ports.StageRunner
+    _stages: stage_pool.StagePool
     _follower: directory_follower.DirectoryFollower
     _endpoint: gossip.GossipEndpoint = attrs.field(init=False)
     _server: grpc_server.Server = attrs.field(init=False)
     _links: dict[str, stage_link.StageLink] = attrs.field(factory=dict)
     _owners: dict[str, str] = attrs.field(factory=dict)
+    _led_since_ms: int | None = None
     _last_answer: tuple[int, gossip.Rumour] | None = None
 
     def __attrs_post_init__(self) -> None:
         self._endpoint = gossip.GossipEndpoint(self._on_rumour)
-        service = peer_service.GatewayPeerService(self._local, self._follower)
+        service = peer_service.GatewayPeerService(self._stages, self._follower)
         self._server = grpc_server.Server([service])
 
     async def start(self) -> None:
@@ -75,13 +78,28 @@
             now_ms = self._state.clock.now_ms()
             chosen = self._state.hosts.beat(self._follower.horizons(), now_ms)
             self._endpoint.send(chosen, self._rumour(now_ms, wants_answer=True))
+            self._check_lead(now_ms)
             spread = 0.75 + 0.5 * self._state.rng.random()
             await asyncio.sleep(hosts.BEAT_MS * spread / _MS_PER_S)
 
     def leave(self) -> None:
-        """Tells the other hosts that this one begins its graceful shutdown."""
+        """Tells the other hosts that this one begins its graceful shutdown; hands stages over."""
+        now_ms = self._state.clock.now_ms()
         chosen = self._state.hosts.leave()
-        self._endpoint.send(chosen, self._rumour(self._state.clock.now_ms()))
+        self._endpoint.send(chosen, self._rumour(now_ms))
+        self._stages.set_in_charge(self._state.hosts.lead(now_ms) == self._state.hosts.own.address)
+
+    def _check_lead(self, now_ms: int) -> None:
+        lead = self._state.hosts.lead(now_ms)
+        if lead == self._state.hosts.own.address:
+            self._led_since_ms = None
+            self._stages.set_in_charge(True)
+            return
+        if self._led_since_ms is None:
+            self._led_since_ms = now_ms
+        if now_ms - self._led_since_ms >= LED_MS and len(self._stages):
+            self._state.log.write("stages.handed-over", peer=lead, jobs=len(self._stages))
+            self._stages.set_in_charge(False)
 
     def _answer(self, now_ms: int) -> gossip.Rumour:
         """Returns the answer to a rumour; many may be asked for at the same time."""
@@ -107,10 +125,18 @@
     # ---- stages --------------------------------------------------------------------------------
 
     async def run(
-        self, request: ports.StageRequest
+        self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
     ) -> Result[ports.StageResults, ports.StageFailure]:
         """Has the stages of a request done by the host that owns them now."""
         started_ms = self._state.clock.now_ms()
+        made = request.made
+
+        def on_progress(known: tuple[ports.MadePiece, ...]) -> None:
+            nonlocal made
+            made = known
+            if listener is not None:
+                listener(known)
+
         outcome: Result[ports.StageResults, ports.StageFailure]
         outcome = Error(ports.StageFailure(stage_link.LOST, _MS_PER_S))
         for _ in range(MAX_STAGE_HOSTS):
@@ -120,15 +146,19 @@
                 request,
                 aim_ms=request.aim_ms - spent_ms,
                 deadline_ms=request.deadline_ms - spent_ms,
+                made=made,
             )
-            owner = rendezvous.owner(self._state.hosts.workers(now_ms), _OWNER_KEY)
-            if owner is None or owner == self._state.hosts.own.address:
+            owner = self._state.hosts.lead(now_ms)
+            if owner == self._state.hosts.own.address:
                 self._owners.pop(request.request_id, None)
-                return await self._local.run(left)
-            self._owners[request.request_id] = owner
-            outcome = await self._link(owner).run(left)
+                outcome = await self._stages.run(left, on_progress)
+            else:
+                self._owners[request.request_id] = owner
+                outcome = await self._link(owner).run(left, on_progress)
             if outcome.is_ok() or outcome.error.kind not in _OTHER_HOST:
                 return outcome
+            if owner == self._state.hosts.own.address and not self._state.hosts.own.leaving:
+                return outcome
             now_ms = self._state.clock.now_ms()
             self._state.hosts.avoid(owner, now_ms + AVOID_MS)
             self._state.log.write(
@@ -136,6 +166,7 @@
                 request=request.request_id,
                 peer=owner,
                 reason=outcome.error.kind,
+                made=len(made),
                 spent_ms=now_ms - started_ms,
             )
         return outcome
@@ -144,7 +175,7 @@
         """Frees the results of a request, or drops its work."""
         owner = self._owners.pop(request_id, None)
         if owner is None:
-            self._local.release(request_id)
+            self._stages.release(request_id)
         elif owner in self._links:
             self._links[owner].release(request_id)
 
@@ -201,4 +232,4 @@
         self._state.log.write("replica.fetched", peer=address, items=count)
 
 
-_OTHER_HOST = frozenset({stage_link.LOST, "unknown-stage-service"})
+_OTHER_HOST = frozenset({stage_link.LOST, "unknown-stage-service", ports.HANDED_OVER})
--- a/src/sesamehold/connection/gateway/peer_service.py
+++ b/src/sesamehold/connection/gateway/peer_service.py
@@ -55,6 +55,7 @@
     _tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     _held: set[str] = attrs.field(factory=set)
     _outcomes: list[gateway_pb2.StageOutcome] = attrs.field(factory=list)
+    _progress: dict[str, gateway_pb2.StageProgress] = attrs.field(factory=dict)
     _news: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def take(self, order: gateway_pb2.StageOrder) -> None:
@@ -79,8 +80,10 @@
                     continue
             self._news.clear()
             outcomes, self._outcomes = self._outcomes, []
+            progress, self._progress = self._progress, {}
+            report = gateway_pb2.StageReport(outcomes=outcomes, progress=progress.values())
             try:
-                await self._stream.send_message(gateway_pb2.StageReport(outcomes=outcomes))
+                await self._stream.send_message(report)
             except (grpc_exceptions.StreamTerminatedError, OSError):
                 # The other host is gone; the end of its orders drops its work.
                 return
@@ -91,8 +94,14 @@
             self._release(request_id)
 
     async def _run(self, request: ports.StageRequest) -> None:
-        outcome = await self._stages.run(request)
-        self._tasks.pop(request.request_id, None)
+        request_id = request.request_id
+
+        def on_progress(made: tuple[ports.MadePiece, ...]) -> None:
+            self._progress[request_id] = stage_codec.progress_to_wire(request_id, made)
+            self._news.set()
+
+        outcome = await self._stages.run(request, on_progress)
+        self._tasks.pop(request_id, None)
         self._outcomes.append(stage_codec.outcome_to_wire(request.request_id, outcome))
         self._news.set()
 
--- a/src/sesamehold/connection/gateway/stage_codec.py
+++ b/src/sesamehold/connection/gateway/stage_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -31,6 +33,7 @@
             deadline_ms=request.deadline_ms,
             preferred_zone=request.preferred_zone,
             request_ms=request.request_ms,
+            made=_made_to_wire(request.made),
         )
     )
 
@@ -55,9 +58,22 @@
         deadline_ms=wire.deadline_ms,
         preferred_zone=wire.preferred_zone,
         request_ms=wire.request_ms,
+        made=_made_from_wire(wire.made),
     )
 
 
+def progress_to_wire(
+    request_id: str, made: Iterable[ports.MadePiece]
+) -> gateway_pb2.StageProgress:
+    """Returns which results of a request exist."""
+    return gateway_pb2.StageProgress(request_id=request_id, made=_made_to_wire(made))
+
+
+def progress_from_wire(wire: gateway_pb2.StageProgress) -> tuple[ports.MadePiece, ...]:
+    """Reads which results of a request exist."""
+    return _made_from_wire(wire.made)
+
+
 def outcome_to_wire(
     request_id: str, outcome: Result[ports.StageResults, ports.StageFailure]
 ) -> gateway_pb2.StageOutcome:
@@ -82,3 +98,25 @@
     if wire.failure:
         return Error(ports.StageFailure(wire.failure, wire.retry_after_ms))
     return Ok(ports.StageResults(tuple(wire.handles), wire.zone))
+
+
+def _made_to_wire(made: Iterable[ports.MadePiece]) -> list[gateway_pb2.MadePiece]:
+    return [
+        gateway_pb2.MadePiece(
+            stage_index=piece.stage_index,
+            piece_index=piece.piece_index,
+            handle=piece.handle,
+            target_id=piece.target_id,
+            born_ms=piece.born_ms,
+        )
+        for piece in made
+    ]
+
+
+def _made_from_wire(made: Iterable[gateway_pb2.MadePiece]) -> tuple[ports.MadePiece, ...]:
+    return tuple(
+        ports.MadePiece(
+            piece.stage_index, piece.piece_index, piece.handle, piece.target_id, piece.born_ms
+        )
+        for piece in made
+    )
--- a/src/sesamehold/connection/gateway/stage_link.py
+++ b/src/sesamehold/connection/gateway/stage_link.py
@@ -46,16 +46,21 @@
     closed: bool = False
     _orders: asyncio.Queue[gateway_pb2.StageOrder] = attrs.field(factory=asyncio.Queue)
     _waiters: dict[str, asyncio.Future[_Outcome]] = attrs.field(factory=dict)
+    _listeners: dict[str, ports.ProgressListener] = attrs.field(factory=dict)
     _task: asyncio.Task[None] | None = None
     _heard_s: float = 0.0
 
-    async def run(self, request: ports.StageRequest) -> _Outcome:
+    async def run(
+        self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
+    ) -> _Outcome:
         """Has all stages of a request done; fails with `LOST` if the host is lost."""
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[_Outcome] = loop.create_future()
         if not self._waiters:
             self._heard_s = loop.time()
         self._waiters[request.request_id] = waiter
+        if listener is not None:
+            self._listeners[request.request_id] = listener
         self._orders.put_nowait(stage_codec.request_to_wire(request))
         if self._task is None:
             self._task = asyncio.create_task(self._serve())
@@ -67,6 +72,7 @@
         finally:
             if self._waiters.get(request.request_id) is waiter:
                 del self._waiters[request.request_id]
+                self._listeners.pop(request.request_id, None)
 
     def release(self, request_id: str) -> None:
         """Frees the results of a request, or drops its work."""
@@ -122,6 +128,10 @@
             if report is None:
                 return
             self._heard_s = loop.time()
+            for progress in report.progress:
+                listener = self._listeners.get(progress.request_id)
+                if listener is not None:
+                    listener(stage_codec.progress_from_wire(progress))
             for outcome in report.outcomes:
                 waiter = self._waiters.get(outcome.request_id)
                 if waiter is not None and not waiter.done():
--- a/src/sesamehold/process/gateway/hosts.py
+++ b/src/sesamehold/process/gateway/hosts.py
@@ -141,8 +141,17 @@
         """Does not choose a host for shared work until a time, after it failed."""
         self._avoided_until_ms[address] = until_ms
 
-    def workers(self, now_ms: int) -> list[str]:
-        """Returns the hosts, this one included, that shared work goes to: the strongest ones."""
+    def lead(self, now_ms: int) -> str:
+        """Returns the host that is in charge of shared work.
+
+        It is the one of the strongest hosts that has been running for longest, so that a host that
+        starts again does not take the work from the one that has it.
+        """
+        candidates = self.candidates(now_ms)
+        return min(candidates, key=lambda beat: (beat.incarnation, beat.address)).address
+
+    def candidates(self, now_ms: int) -> list[HostBeat]:
+        """Returns the strongest hosts, this one included if it belongs to them."""
         able = [
             known.beat
             for address, known in self._known.items()
@@ -155,7 +164,7 @@
         if not self.own.leaving or not able:
             able.append(self.own)
         least = STRONG_FRACTION * max(beat.core_count for beat in able)
-        return [beat.address for beat in able if beat.core_count >= least]
+        return [beat for beat in able if beat.core_count >= least]
 
     def known_addresses(self, now_ms: int) -> list[str]:
         """Returns all hosts that may be running, this one included."""
--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -93,6 +93,44 @@
             request, now_ms + request.aim_ms, now_ms + request.deadline_ms, stages, followers
         )
 
+    def take_over(self, piece: ports.MadePiece, target: targets.Target) -> None:
+        """Takes over a result that another host has had made."""
+        stage = self._stages.get(piece.stage_index)
+        if stage is not None and 0 <= piece.piece_index < stage.work.piece_count:
+            stage.made[piece.piece_index] = Made(piece.handle, target)
+
+    def drop_useless(self) -> list[Made]:
+        """Gives up results that were taken over and are not needed; returns them.
+
+        A stage of which a part is missing is kept; one whose followers are all done is not needed.
+        """
+        dropped: list[Made] = []
+        for index, stage in self._stages.items():
+            followers = [self._stages[item] for item in self._followers[index]]
+            if followers and all(item.done for item in followers):
+                dropped += [made for made in stage.made.values() if made.handle]
+                follower = next(iter(followers[0].made.values()))
+                stage.made = {
+                    piece: Made("", follower.target) for piece in range(stage.work.piece_count)
+                }
+        return dropped
+
+    def made_pieces(self) -> tuple[ports.MadePiece, ...]:
+        """Returns the results that exist, for another host that may have to go on with them."""
+        return tuple(
+            ports.MadePiece(
+                index, piece, made.handle, made.target.target_id, made.target.born_ms
+            )
+            for index, stage in self._stages.items()
+            for piece, made in stage.made.items()
+            if made.handle
+        )
+
+    @property
+    def in_call(self) -> bool:
+        """Returns whether a call with a piece of the job has not ended."""
+        return any(count for stage in self._stages.values() for count in stage.in_call.values())
+
     @property
     def done(self) -> bool:
         """Returns whether all stages are done."""
--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -39,6 +39,8 @@
     _scheduler: stage_scheduler.StageScheduler = attrs.field(init=False)
     _waiters: dict[str, asyncio.Future[ports.StageFailure | None]] = attrs.field(factory=dict)
     _results: dict[str, ports.StageResults] = attrs.field(factory=dict)
+    _listeners: dict[str, ports.ProgressListener] = attrs.field(factory=dict)
+    _in_charge: bool = True
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _pump_handle: asyncio.TimerHandle | None = None
     _pump_at_s: float = 0.0
@@ -46,16 +48,16 @@
 
     def __attrs_post_init__(self) -> None:
         self._scheduler = stage_scheduler.StageScheduler(
-            self._state.directory.usable, self._pool_of
+            self._state.directory.usable, self._pool_of, self._state.directory.find
         )
 
     def __len__(self) -> int:
         return len(self._scheduler)
 
     async def run(
-        self, request: ports.StageRequest
+        self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
     ) -> Result[ports.StageResults, ports.StageFailure]:
-        """Does all stages of a request."""
+        """Does all stages of a request; see `ports.StageRunner`."""
         request_id = request.request_id
         # A host that takes over may send a request that another host gave up on before.
         self.release(request_id)
@@ -67,6 +69,8 @@
             asyncio.get_running_loop().create_future()
         )
         self._waiters[request_id] = waiter
+        if listener is not None:
+            self._listeners[request_id] = listener
         self._schedule(GATHER_S)
         try:
             failure = await waiter
@@ -76,6 +80,7 @@
         finally:
             if self._waiters.get(request_id) is waiter:
                 del self._waiters[request_id]
+                self._listeners.pop(request_id, None)
         self._state.measures.stage_jobs.labels("done" if failure is None else failure.kind).inc()
         if failure is not None:
             return Error(failure)
@@ -87,6 +92,15 @@
         self._results.pop(request_id, None)
         self._schedule_free()
 
+    def set_in_charge(self, in_charge: bool) -> None:
+        """Says whether this host is in charge.
+
+        If it is not, other hosts go on with its jobs, now or when their running calls have ended.
+        """
+        self._in_charge = in_charge
+        if not in_charge:
+            self._schedule(0.0)
+
     async def close(self) -> None:
         """Ends all calls."""
         for handle in (self._pump_handle, self._free_handle):
@@ -115,7 +129,13 @@
     def _pump(self) -> None:
         self._pump_handle = None
         now_ms = self._state.clock.now_ms()
-        calls, finished = self._scheduler.plan(now_ms)
+        calls: list[stage_workers.Call] = []
+        if self._in_charge:
+            calls, finished = self._scheduler.plan(now_ms)
+        else:
+            finished = self._scheduler.hand_over(now_ms)
+            # Orders that come later are taken again: their senders know no better host.
+            self._in_charge = not len(self._scheduler)
         self._settle(finished)
         for call in calls:
             self._start(self._call(call))
@@ -137,6 +157,7 @@
         match outcome:
             case Result(tag="ok", ok=results):
                 finished = self._scheduler.on_results(call, results, now_ms)
+                self._report_progress(call)
                 reasons = sorted({result.reason for result in results if result.reason})
                 self._log_call(call, now_ms, "done", reasons=reasons or None)
             case Result(error=fault):
@@ -145,6 +166,13 @@
         self._settle(finished)
         self._schedule(0.0)
 
+    def _report_progress(self, call: stage_workers.Call) -> None:
+        jobs = {piece.job.request.request_id: piece.job for piece in call.pieces}
+        for request_id, job in jobs.items():
+            listener = self._listeners.get(request_id)
+            if listener is not None and not job.done:
+                listener(job.made_pieces())
+
     def _on_inputs_read(self, call: stage_workers.Call) -> None:
         self._scheduler.on_inputs_read(call, self._state.clock.now_ms())
         self._schedule_free()
--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -16,7 +16,7 @@
 from sesamehold.version import routing
 
 # Requests of a less urgent rank count as if they had this much more time.
-RANK_SLACK_MS = 400
+RANK_SLACK_MS = 2_000
 MIN_WORTHWHILE_MS = 30
 # Results that nothing but the request itself needs are not made earlier than this before the
 # other stages are expected to end, because they would take up room.
@@ -85,6 +85,10 @@
         self._take_out(entry)
         return entry.job
 
+    def jobs(self) -> list[stage_job.Job]:
+        """Returns all jobs."""
+        return [entry.job for entry in self._entries.values()]
+
     def contains(self, job: stage_job.Job) -> bool:
         """Returns whether this very job is in the queue; its request may have another one."""
         entry = self._entries.get(job.request.request_id)
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -60,10 +60,12 @@
     Attributes:
         usable: Returns the targets of a service that may get new work.
         pool_of: Returns how the targets of a service work, None if it does no stages.
+        find: Returns a target by its identity, None if it is not known.
     """
 
     usable: Callable[[str], list[targets.Target]]
     pool_of: Callable[[str], routing.StagePool | None]
+    find: Callable[[str], targets.Target | None] = lambda target_id: None  # noqa: E731, ARG005
     _queue: stage_queue.StageQueue = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
@@ -91,6 +93,7 @@
             # Another host may have been in charge until now, and its calls may still run.
             self._contended_until_ms = now_ms + CONTENTION_MS
         self._submitted_ms = now_ms
+        self._take_over(job, now_ms)
         self._queue.add(job)
         return None
 
@@ -100,6 +103,17 @@
         if job is not None:
             self._free(job.all_results())
 
+    def hand_over(self, now_ms: int) -> list[Finished]:
+        """Gives up the jobs without a running call, so that another host goes on with them.
+
+        Their results stay at the targets. Call it again when calls have ended or are overdue.
+        """
+        self._retry_overdue(now_ms)
+        idle = [job for job in self._queue.jobs() if not job.in_call]
+        for job in idle:
+            self._queue.remove(job.request.request_id)
+        return [Finished(job, ports.StageFailure(ports.HANDED_OVER, 0)) for job in idle]
+
     def plan(self, now_ms: int) -> tuple[list[stage_workers.Call], list[Finished]]:
         """Returns the calls to start now, and the jobs that can no longer be finished in time."""
         self._retry_overdue(now_ms)
@@ -125,7 +139,7 @@
         unfinished = {id(piece.job): piece.job for piece in call.pieces if not piece.job.done}
         for piece, result in zip(call.pieces, results, strict=True):
             if result.handle is not None:
-                self._take_result(call.target, worker, piece, result.handle, now_ms)
+                self._take_result(call.target, piece, result.handle, now_ms)
             else:
                 finished += self._take_reason(worker, piece, result.reason, now_ms)
         for job in unfinished.values():
@@ -299,19 +313,30 @@
 
     # ---- results -------------------------------------------------------------------------------
 
+    def _take_over(self, job: stage_job.Job, now_ms: int) -> None:
+        """Takes over the results that another host has had made for a job."""
+        for piece in job.request.made:
+            target = self.find(piece.target_id)
+            if target is None or target.born_ms != piece.born_ms:
+                continue
+            job.take_over(piece, target)
+            self._hold(target, piece.handle, job.result_size_bytes(piece.stage_index), now_ms)
+        self._free(job.drop_useless())
+
+    def _hold(self, target: targets.Target, handle: str, size_bytes: int, now_ms: int) -> None:
+        pool = self.pool_of(target.service)
+        retention_ms = pool.retention_ms if pool is not None else 0
+        self._workers.get(target).hold(handle, size_bytes, now_ms + retention_ms)
+
     def _take_result(
         self,
         target: targets.Target,
-        worker: stage_workers.Worker,
         piece: stage_workers.PieceId,
         handle: str,
         now_ms: int,
     ) -> None:
         made = stage_job.Made(handle, target)
-        pool = self.pool_of(target.service)
-        retention_ms = pool.retention_ms if pool is not None else 0
-        size = piece.job.result_size_bytes(piece.stage_index)
-        worker.hold(handle, size, now_ms + retention_ms)
+        self._hold(target, handle, piece.job.result_size_bytes(piece.stage_index), now_ms)
         is_new = piece.job.finish(piece.stage_index, piece.piece, made)
         self._queue.touch(piece.job)
         if not is_new or not self._queue.contains(piece.job):
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Protocol
+from typing import TypeAlias
 
 import attrs
 from expression import Result
@@ -131,6 +133,25 @@
     result_size_bytes: int
 
 
+@attrs.frozen
+class MadePiece:
+    """Result of a piece that lies at a target.
+
+    Attributes:
+        stage_index: Index of the stage in its route.
+        piece_index: Index of the piece in its stage.
+        handle: Names the result.
+        target_id: Target that holds it.
+        born_ms: Start of that target, in Unix milliseconds.
+    """
+
+    stage_index: int
+    piece_index: int
+    handle: str
+    target_id: str
+    born_ms: int
+
+
 @attrs.frozen
 class StageRequest:
     """Stages to be done for one request.
@@ -144,6 +165,7 @@
         deadline_ms: Time left until the results are of no use.
         request_ms: Time that the request itself is expected to need after its stages.
         preferred_zone: Availability zone where the request is best run, empty for any.
+        made: Results of stages that another host has had done before.
     """
 
     request_id: str
@@ -154,6 +176,7 @@
     deadline_ms: int
     request_ms: int = 0
     preferred_zone: str = ""
+    made: tuple[MadePiece, ...] = ()
 
 
 @attrs.frozen
@@ -182,11 +205,24 @@
     retry_after_ms: int
 
 
+# Failure of stages whose host is about to stop; another host can go on with what was made.
+HANDED_OVER = "handed-over"
+
+ProgressListener: TypeAlias = Callable[[tuple[MadePiece, ...]], None]
+
+
 class StageRunner(Protocol):
     """Does the stages of requests."""
 
-    async def run(self, request: StageRequest) -> Result[StageResults, StageFailure]:
-        """Does all stages of a request."""
+    async def run(
+        self, request: StageRequest, listener: ProgressListener | None = None
+    ) -> Result[StageResults, StageFailure]:
+        """Does all stages of a request.
+
+        Args:
+            request: What is to be done.
+            listener: Told which results exist whenever a stage is done.
+        """
 
     def release(self, request_id: str) -> None:
         """Frees the results of a request, or drops its work if it is not done yet."""
--- a/testing/process/gateway/test_gateway_shares.py
+++ b/testing/process/gateway/test_gateway_shares.py
@@ -117,6 +117,10 @@
     return hosts.HostTable.create(name, "z1", 100, seeds, random.Random(name))
 
 
+def _candidates(table: hosts.HostTable, now_ms: int) -> list[str]:
+    return [beat.address for beat in table.candidates(now_ms)]
+
+
 def test_hosts_find_each_other_from_one_seed() -> None:
     """Guards against parts of a fleet that never meet."""
     names = [f"10.1.0.{index}:7" for index in range(30)]
@@ -142,8 +146,8 @@
     """Guards against stages handed to a host that leaves or has no configuration."""
     table = _table("a", [])
     table.merge([beat], 0)
-    assert table.workers(0) == expected
-    assert table.workers(hosts.SILENCE_MS + 1) == ["a"]
+    assert _candidates(table, 0) == expected
+    assert _candidates(table, hosts.SILENCE_MS + 1) == ["a"]
 
 
 def test_avoided_host_is_used_again_later() -> None:
@@ -151,8 +155,8 @@
     table = _table("a", [])
     table.merge([hosts.HostBeat("b", 1, 5, "z", horizons=(1, 1))], 0)
     table.avoid("b", 500)
-    assert table.workers(100) == ["a"]
-    assert table.workers(600) == ["b", "a"]
+    assert _candidates(table, 100) == ["a"]
+    assert _candidates(table, 600) == ["b", "a"]
 
 
 def _beat(name: str, core_count: float) -> hosts.HostBeat:
@@ -173,7 +177,25 @@
     """Guards against a fleet that waits for a host with a small part of a core."""
     table = hosts.HostTable.create("a", "z1", 1, [], random.Random(1), core_count=own)
     table.merge([_beat(name, cores) for name, cores in others.items()], 0)
-    assert table.workers(0) == expected
+    assert _candidates(table, 0) == expected
+
+
+@pytest.mark.parametrize(
+    ("own_start", "others", "lead"),
+    [
+        pytest.param(5, {"b": 3, "c": 4}, "b", id="the-oldest-one"),
+        pytest.param(2, {"b": 3}, "a", id="this-host"),
+        pytest.param(3, {"b": 3}, "a", id="started-together"),
+    ],
+)
+def test_host_in_charge_has_run_for_longest(
+    own_start: int, others: dict[str, int], lead: str
+) -> None:
+    """Guards against a change of the host in charge whenever a host starts again."""
+    table = hosts.HostTable.create("a", "z1", own_start, [], random.Random(1))
+    beats = [hosts.HostBeat(name, start, 1, "z", horizons=(1,)) for name, start in others.items()]
+    table.merge(beats, 0)
+    assert table.lead(0) == lead
 
 
 def test_every_datagram_tells_of_the_strongest_hosts() -> None:
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -307,3 +307,64 @@
     failure = world.scheduler.submit(_request("r1", stages=[("x", (), 1, 1)]), 0)
     assert failure is not None
     assert failure.kind == "unknown-stage-service"
+
+
+def _taken_over(world: World, first: stage_workers.Call) -> World:
+    """Returns the world of another host that goes on with what `first` has made."""
+    other = World()
+    other.scheduler.find = {t.target_id: t for ts in other.targets.values() for t in ts}.get
+    made = first.pieces[0].job.made_pieces()
+    assert world.scheduler.hand_over(300)[0].failure == ports.StageFailure(ports.HANDED_OVER, 0)
+    assert len(world.scheduler) == 0
+    assert world.scheduler.take_freed() == []
+    assert other.submit("r1", 300, stages=[("a", (), 2, 10), ("b", (0,), 1, 10)], made=made) is None
+    return other
+
+
+def test_another_host_goes_on_with_what_was_made() -> None:
+    """Guards against stages that start anew when the host in charge stops."""
+    world = World()
+    world.submit("r1", stages=[("a", (), 2, 10), ("b", (0,), 1, 10)])
+    (first,) = world.plan(0)
+    world.done(first, 220)
+    other = _taken_over(world, first)
+    (second,) = other.plan(300)
+    (order,) = second.orders
+    assert second.target.service == "b"
+    assert order.inputs == tuple(f"{first.target.address}/r1-0-{piece}" for piece in range(2))
+    (finished,) = other.done(second, 520)
+    assert finished.failure is None
+    assert len(other.confirm_freed()) == 2
+
+
+def test_results_of_a_target_that_started_again_are_not_taken_over() -> None:
+    """Guards against inputs that a target has lost."""
+    world = World()
+    made = (ports.MadePiece(0, 0, "h", "a0", 0), ports.MadePiece(0, 1, "i", "unknown", 1))
+    world.scheduler.find = {"a0": world.targets["a"][0]}.get
+    world.submit("r1", made=made)
+    (call,) = world.plan(0)
+    assert len(call.orders) == 2
+
+
+def test_results_whose_followers_are_done_are_freed() -> None:
+    """Guards the room of targets, and against stages done twice, after a change of hosts."""
+    world = World()
+    world.scheduler.find = {t.target_id: t for ts in world.targets.values() for t in ts}.get
+    made = (ports.MadePiece(0, 0, "h", "a0", 1), ports.MadePiece(1, 0, "i", "b0", 1))
+    stages = [("a", (), 1, 10), ("b", (0,), 1, 10), ("a", (1,), 1, 10)]
+    world.submit("r1", stages=stages, made=made)
+    assert world.confirm_freed() == ["h"]
+    (call,) = world.plan(0)
+    assert [(order.stage_index, order.inputs) for order in call.orders] == [(2, ("i",))]
+
+
+def test_job_in_a_call_is_handed_over_when_the_call_has_ended() -> None:
+    """Guards against a piece that two hosts have made at the same time."""
+    world = World()
+    world.submit("r1", stages=[("a", (), 2, 10), ("b", (0,), 1, 10)])
+    (call,) = world.plan(0)
+    assert world.scheduler.hand_over(10) == []
+    world.done(call, 220)
+    (finished,) = world.scheduler.hand_over(220)
+    assert len(finished.job.made_pieces()) == 2
