Keep finished jobs at the host that had them done

Cause: a host that handed its stages over also gave up jobs that were done and waited for the engine to read their inputs.

Ruled out: the room taken over with jobs, which is counted when they arrive; lost calls to free results (no stage.free-failed line in that time).

Change: only jobs with open stages are handed over.

--- a/src/sesamehold/connection/gateway/stage_codec.py
+++ b/src/sesamehold/connection/gateway/stage_codec.py
@@ -62,9 +62,7 @@
     )
 
 
-def progress_to_wire(
-    request_id: str, made: Iterable[ports.MadePiece]
-) -> gateway_pb2.StageProgress:
+def progress_to_wire(request_id: str, made: Iterable[ports.MadePiece]) -> gateway_pb2.StageProgress:
     """Returns which results of a request exist."""
     return gateway_pb2.StageProgress(request_id=request_id, made=_made_to_wire(made))
 
--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -118,9 +118,7 @@
     def made_pieces(self) -> tuple[ports.MadePiece, ...]:
         """Returns the results that exist, for another host that may have to go on with them."""
         return tuple(
-            ports.MadePiece(
-                index, piece, made.handle, made.target.target_id, made.target.born_ms
-            )
+            ports.MadePiece(index, piece, made.handle, made.target.target_id, made.target.born_ms)
             for index, stage in self._stages.items()
             for piece, made in stage.made.items()
             if made.handle
--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -135,7 +135,7 @@
         else:
             finished = self._scheduler.hand_over(now_ms)
             # Orders that come later are taken again: their senders know no better host.
-            self._in_charge = not len(self._scheduler)
+            self._in_charge = not self._scheduler.open_count
         self._settle(finished)
         for call in calls:
             self._start(self._call(call))
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -78,6 +78,11 @@
     def __len__(self) -> int:
         return len(self._queue)
 
+    @property
+    def open_count(self) -> int:
+        """Returns the number of jobs whose stages are not all done."""
+        return sum(not job.done for job in self._queue.jobs())
+
     # ---- events --------------------------------------------------------------------------------
 
     def submit(self, request: ports.StageRequest, now_ms: int) -> ports.StageFailure | None:
@@ -104,12 +109,12 @@
             self._free(job.all_results())
 
     def hand_over(self, now_ms: int) -> list[Finished]:
-        """Gives up the jobs without a running call, so that another host goes on with them.
+        """Gives up the open jobs without a running call, so that another host goes on with them.
 
         Their results stay at the targets. Call it again when calls have ended or are overdue.
         """
         self._retry_overdue(now_ms)
-        idle = [job for job in self._queue.jobs() if not job.in_call]
+        idle = [job for job in self._queue.jobs() if not job.done and not job.in_call]
         for job in idle:
             self._queue.remove(job.request.request_id)
         return [Finished(job, ports.StageFailure(ports.HANDED_OVER, 0)) for job in idle]
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -368,3 +368,15 @@
     world.done(call, 220)
     (finished,) = world.scheduler.hand_over(220)
     assert len(finished.job.made_pieces()) == 2
+
+
+def test_results_of_a_finished_job_are_freed_by_the_host_that_had_them_made() -> None:
+    """Guards the room of targets against a change of hosts while an engine reads its inputs."""
+    world = World()
+    world.submit("r1")
+    (call,) = world.plan(0)
+    world.done(call, 220)
+    assert world.scheduler.hand_over(230) == []
+    assert world.scheduler.open_count == 0
+    world.scheduler.release("r1")
+    assert len(world.confirm_freed()) == 2
