Start without the checker of JSON schemas

Cause: a gateway process imported jsonschema and json5 through the daemon's settings module, of which it uses the types of addresses and limits only; a restarted host is late by its imports.

Change: the two types stand in process/listening.py.

--- a/bench/sesamehold_bench/process/serve.py
+++ b/bench/sesamehold_bench/process/serve.py
@@ -9,14 +9,14 @@
 from aiohttp import web
 import uvloop
 
-from sesamehold.process import settings
+from sesamehold.process import listening
 
 # Calls on silent connections never end, so a stand-in does not wait for them for long.
 SHUTDOWN_S = 1.0
 
 
 async def _serve(application: web.Application, address_text: str) -> None:
-    address = settings.Address.parse(address_text)
+    address = listening.Address.parse(address_text)
     runner = web.AppRunner(
         application, access_log=None, handler_cancellation=True, shutdown_timeout=SHUTDOWN_S
     )
--- a/bench/sesamehold_bench/process/statsd_sink.py
+++ b/bench/sesamehold_bench/process/statsd_sink.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 import attrs
 
-from sesamehold.process import settings
+from sesamehold.process import listening
 
 
 @attrs.define(eq=False)
@@ -34,7 +34,7 @@
         """Returns the application that receives on UDP and answers its counts on TCP."""
         application = web.Application()
         application.router.add_get("/v1/counters", self.counters)
-        address = settings.Address.parse(address_text)
+        address = listening.Address.parse(address_text)
 
         async def listen(application: web.Application) -> AsyncIterator[None]:
             del application
--- a/src/sesamehold/connection/caller_body.py
+++ b/src/sesamehold/connection/caller_body.py
@@ -9,7 +9,7 @@
 from expression import Ok
 from expression import Result
 
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.request import errors
 
 _MS_PER_S = 1_000
@@ -17,7 +17,7 @@
 
 
 async def read(
-    request: web.Request, limits: settings.CallerLimits
+    request: web.Request, limits: listening.CallerLimits
 ) -> Result[bytes, errors.Failure]:
     """Reads a whole body.
 
@@ -47,7 +47,7 @@
 
 
 def _refusal_of_headers(
-    request: web.Request, limits: settings.CallerLimits
+    request: web.Request, limits: listening.CallerLimits
 ) -> errors.Failure | None:
     if request.headers.get("Content-Encoding", "identity").lower() != "identity":
         return errors.UnsupportedContent(detail="Send the body without a content encoding.")
@@ -58,5 +58,5 @@
     return None
 
 
-def _too_large(limits: settings.CallerLimits) -> errors.TooLarge:
+def _too_large(limits: listening.CallerLimits) -> errors.TooLarge:
     return errors.TooLarge(detail=f"The body exceeds {limits.body_size_bytes} bytes.")
--- a/src/sesamehold/connection/datagram.py
+++ b/src/sesamehold/connection/datagram.py
@@ -14,8 +14,8 @@
 
 from sesamehold.connection import seal
 from sesamehold.connection.wire import peer_pb2
+from sesamehold.process import listening
 from sesamehold.process import messages
-from sesamehold.process import settings
 
 # Fits the smallest path MTU of IPv6 (1,280 bytes) with its headers.
 MAX_SIZE_BYTES = 1_200
@@ -172,7 +172,7 @@
     count: Callable[[str, int], None]
     _transport: asyncio.DatagramTransport | None = None
 
-    async def start(self, address: settings.Address) -> None:
+    async def start(self, address: listening.Address) -> None:
         """Binds the socket."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(address.ip, address.port))
@@ -185,7 +185,7 @@
         if len(data) > MAX_SIZE_BYTES:
             self.count("datagram.too_large", 1)
             return
-        address = settings.Address.parse(outgoing.address)
+        address = listening.Address.parse(outgoing.address)
         self._transport.sendto(data, (address.ip, address.port))
         self.count("datagram.sent", 1)
         self.count("datagram.sent_bytes", len(data))
--- a/src/sesamehold/connection/fleet_service.py
+++ b/src/sesamehold/connection/fleet_service.py
@@ -18,9 +18,9 @@
 from sesamehold.connection import platform_http
 from sesamehold.connection import seal
 from sesamehold.process import configuration_reader
+from sesamehold.process import listening
 from sesamehold.process import messages
 from sesamehold.process import node as nodes
-from sesamehold.process import settings
 
 TICK_S = 0.1
 GAUGE_PERIOD_MS = 1_000
@@ -117,7 +117,7 @@
 
     async def start(self) -> None:
         """Listens on the peer address and starts to read the configuration."""
-        address = settings.Address.parse(self._node.config.peer_address)
+        address = listening.Address.parse(self._node.config.peer_address)
         await self._endpoint.start(address)
         self._tasks = [
             asyncio.create_task(work)
--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -16,7 +16,7 @@
 from sesamehold.connection.gateway import stage_link
 from sesamehold.connection.wire import gateway_grpc
 from sesamehold.connection.wire import gateway_pb2
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.process.gateway import directory_follower
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import stage_pool
@@ -210,7 +210,7 @@
         return self._state.rng.choice(candidates) if candidates else None
 
     async def _fetch(self, address: str) -> None:
-        parsed = settings.Address.parse(address)
+        parsed = listening.Address.parse(address)
         channel = grpc_client.Channel(parsed.ip, parsed.port)
         request = gateway_pb2.ReplicaRequest()
         for prefix, replica in self._follower.replicas.items():
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -11,7 +11,7 @@
 from google.protobuf import message as protobuf_message
 
 from sesamehold.connection.wire import gateway_pb2
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.process import suspects
 from sesamehold.process.gateway import hosts
 
@@ -97,7 +97,7 @@
     _transport: asyncio.DatagramTransport | None = None
     _encoded: tuple[Rumour, bytes] | None = None
 
-    async def start(self, address: settings.Address) -> None:
+    async def start(self, address: listening.Address) -> None:
         """Binds the socket."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(address.ip, address.port))
@@ -110,7 +110,7 @@
             self._encoded = (rumour, encode(rumour))
         data = self._encoded[1]
         for text in addresses:
-            address = settings.Address.parse(text)
+            address = listening.Address.parse(text)
             self._transport.sendto(data, (address.ip, address.port))
 
     def close(self) -> None:
--- a/src/sesamehold/connection/gateway/stage_link.py
+++ b/src/sesamehold/connection/gateway/stage_link.py
@@ -13,7 +13,7 @@
 from sesamehold.connection.gateway import stage_codec
 from sesamehold.connection.wire import gateway_grpc
 from sesamehold.connection.wire import gateway_pb2
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.request.gateway import ports
 
 CONNECT_TIMEOUT_S = 0.4
@@ -86,7 +86,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _serve(self) -> None:
-        parsed = settings.Address.parse(self.address)
+        parsed = listening.Address.parse(self.address)
         channel = grpc_client.Channel(parsed.ip, parsed.port)
         tasks: list[asyncio.Task[None]] = []
         try:
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -12,7 +12,7 @@
 import logbook
 
 from sesamehold.connection import problem_http
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.request import errors
 
 _MS_PER_S = 1_000
@@ -69,20 +69,20 @@
         cls,
         application: web.Application,
         address_text: str,
-        limits: settings.CallerLimits,
+        limits: listening.CallerLimits,
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         """Listens on an address; connections without a request are cut after the idle time."""
         runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
-        address = settings.Address.parse(address_text)
+        address = listening.Address.parse(address_text)
         return await cls._listen(runner, address, lambda: limits, tls)
 
     @classmethod
     async def serve(
         cls,
         server: web.Server,
-        address: settings.Address,
-        limits: Callable[[], settings.CallerLimits],
+        address: listening.Address,
+        limits: Callable[[], listening.CallerLimits],
     ) -> HttpListener:
         """Listens on an address for a server without routes.
 
@@ -97,8 +97,8 @@
     async def _listen(
         cls,
         runner: web.BaseRunner,
-        address: settings.Address,
-        limits: Callable[[], settings.CallerLimits],
+        address: listening.Address,
+        limits: Callable[[], listening.CallerLimits],
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         await runner.setup()
@@ -137,7 +137,7 @@
         await self._runner.cleanup()
 
 
-def _options(limits: settings.CallerLimits) -> dict[str, Any]:
+def _options(limits: listening.CallerLimits) -> dict[str, Any]:
     return {
         "access_log": None,
         "keepalive_timeout": limits.idle_ms / _MS_PER_S,
--- a/src/sesamehold/connection/peer_client.py
+++ b/src/sesamehold/connection/peer_client.py
@@ -19,7 +19,7 @@
 from sesamehold.connection import peer_codec
 from sesamehold.connection import seal
 from sesamehold.connection.wire import peer_grpc
-from sesamehold.process import settings
+from sesamehold.process import listening
 
 _MS_PER_S = 1_000
 
@@ -82,7 +82,7 @@
     def _channel(self, address: str) -> grpc_client.Channel:
         channel = self._channels.get(address)
         if channel is None:
-            parsed = settings.Address.parse(address)
+            parsed = listening.Address.parse(address)
             channel = grpc_client.Channel(
                 parsed.ip, parsed.port, codec=peer_codec.SealedCodec(self._sealer), ssl=self._tls
             )
--- a/src/sesamehold/platform/boot.py
+++ b/src/sesamehold/platform/boot.py
@@ -12,7 +12,7 @@
 from expression import Ok
 from expression import Result
 
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.process.gateway import settings as gateway_settings
 
 # The platform gives no port for metrics; deploy/system.toml names the same one.
@@ -92,7 +92,7 @@
 
 
 def _settings(boot: _Boot) -> gateway_settings.GatewaySettings:
-    address = settings.Address
+    address = listening.Address
     peer_port = boot.internalPorts[0]
     # Seeds name the control address of a host; hosts talk to each other on an internal port.
     seeds = tuple(address(address.parse(seed).ip, peer_port) for seed in boot.seeds)
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -15,7 +15,7 @@
 
 from sesamehold.platform import names
 from sesamehold.platform import published
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.process.gateway import directory_events
 from sesamehold.process.gateway import store_replica
 
@@ -35,7 +35,7 @@
     _session: aiohttp.ClientSession
 
     @classmethod
-    def from_config(cls, address: settings.Address) -> PlatformStore:
+    def from_config(cls, address: listening.Address) -> PlatformStore:
         """Returns a client; must be called with a running event loop."""
         session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
         return cls(f"http://{address}", session)
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -21,6 +21,7 @@
 from sesamehold.connection import peer_server
 from sesamehold.process import components
 from sesamehold.process import dump
+from sesamehold.process import listening
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
 from sesamehold.process import settings
@@ -98,7 +99,7 @@
     async def _listen(self) -> None:
         config = self.node.config
         certificates = self._parts.certificates
-        peer_address = settings.Address.parse(config.peer_address)
+        peer_address = listening.Address.parse(config.peer_address)
         peer_tls = certificates.peer_server
         await self._peer_server.start(
             peer_address.ip, peer_address.port, peer_tls.context if peer_tls is not None else None
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -19,8 +19,8 @@
 from sesamehold.connection.gateway import ingress
 from sesamehold.connection.gateway import target_pool
 from sesamehold.process import clock as clocks
+from sesamehold.process import listening
 from sesamehold.process import pause
-from sesamehold.process import settings
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import directory_events
 from sesamehold.process.gateway import directory_follower
@@ -171,9 +171,9 @@
         parts = relay.RelayParts(self.state, self._adapter.requests, self._client, self._fleet)
         callers = ingress.Ingress(parts)
 
-        def limits() -> settings.CallerLimits:
+        def limits() -> listening.CallerLimits:
             current = callers.limits
-            return settings.CallerLimits(
+            return listening.CallerLimits(
                 header_size_bytes=current.header_size_bytes,
                 idle_ms=current.idle_ms + IDLE_MARGIN_MS,
             )
@@ -183,9 +183,9 @@
         readiness = web.Server(self._readiness)
         metrics = web.Server(self._metrics)
         self._listeners = [
-            await serve(readiness, config.readiness_address, settings.CallerLimits),
+            await serve(readiness, config.readiness_address, listening.CallerLimits),
             await serve(callers.server(), config.ingress_address, limits),
-            await serve(metrics, config.metrics_address, settings.CallerLimits),
+            await serve(metrics, config.metrics_address, listening.CallerLimits),
         ]
 
     async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/sesamehold/process/gateway/settings.py
+++ b/src/sesamehold/process/gateway/settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from sesamehold.process import settings
+from sesamehold.process import listening
 
 
 @attrs.frozen
@@ -45,12 +45,12 @@
 
     host_id: str
     zone: str
-    ingress_address: settings.Address
-    readiness_address: settings.Address
-    peer_address: settings.Address
-    metrics_address: settings.Address
-    store_address: settings.Address
-    seeds: tuple[settings.Address, ...] = ()
+    ingress_address: listening.Address
+    readiness_address: listening.Address
+    peer_address: listening.Address
+    metrics_address: listening.Address
+    store_address: listening.Address
+    seeds: tuple[listening.Address, ...] = ()
     core_count: float = 1.0
     bounds: FleetBounds = FleetBounds()
 
--- /dev/null
+++ b/src/sesamehold/process/listening.py
@@ -0,0 +1,47 @@
+"""Where a process listens, and what its callers may send."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Address:
+    """IP address and port.
+
+    >>> Address.parse("127.0.0.1:80")
+    Address(ip='127.0.0.1', port=80)
+    """
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Parses `ip:port`; raises ValueError for any other text."""
+        ip, _, port = text.rpartition(":")
+        return cls(ip.removeprefix("[").removesuffix("]"), int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+
+
+@attrs.frozen
+class CallerLimits:
+    """Limits on what callers may send.
+
+    Attributes:
+        body_size_bytes: Largest request body.
+        header_size_bytes: Largest single header line.
+        header_count: Most header lines of one request.
+        open_requests: Requests that are open at once.
+        open_streams: Streamed answers that are open at once.
+        idle_ms: Time without progress after which a caller's connection is cut.
+    """
+
+    body_size_bytes: int = 1_048_576
+    header_size_bytes: int = 8_190
+    header_count: int = 64
+    open_requests: int = 2_000
+    open_streams: int = 1_000
+    idle_ms: int = 30_000
--- a/src/sesamehold/process/metrics.py
+++ b/src/sesamehold/process/metrics.py
@@ -11,6 +11,7 @@
 import attrs
 import statsd
 
+from sesamehold.process import listening
 from sesamehold.process import settings
 
 
@@ -30,7 +31,7 @@
         """Returns metrics that go to the configured statsd address, if there is one."""
         if config.statsd_address is None:
             return cls(client=None)
-        address = settings.Address.parse(config.statsd_address)
+        address = listening.Address.parse(config.statsd_address)
         prefix = f"sesamehold.{config.host_id}"
         return cls(client=statsd.StatsClient(address.ip, address.port, prefix=prefix))
 
--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -17,6 +17,7 @@
 from expression import Result
 import json5
 
+from sesamehold.process import listening
 from sesamehold.version import constraints
 from sesamehold.version import manifest
 from sesamehold.version import model_schema
@@ -33,48 +34,6 @@
 _PLACE_PATTERN = re.compile(r"^<string>:(\d+)")
 
 
-@attrs.frozen
-class Address:
-    """IP address and port.
-
-    >>> Address.parse("127.0.0.1:80")
-    Address(ip='127.0.0.1', port=80)
-    """
-
-    ip: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Parses `ip:port`; raises ValueError for any other text."""
-        ip, _, port = text.rpartition(":")
-        return cls(ip.removeprefix("[").removesuffix("]"), int(port))
-
-    def __str__(self) -> str:
-        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
-
-
-@attrs.frozen
-class CallerLimits:
-    """Limits on what callers may send.
-
-    Attributes:
-        body_size_bytes: Largest request body.
-        header_size_bytes: Largest single header line.
-        header_count: Most header lines of one request.
-        open_requests: Requests that are open at once.
-        open_streams: Streamed answers that are open at once.
-        idle_ms: Time without progress after which a caller's connection is cut.
-    """
-
-    body_size_bytes: int = 1_048_576
-    header_size_bytes: int = 8_190
-    header_count: int = 64
-    open_requests: int = 2_000
-    open_streams: int = 1_000
-    idle_ms: int = 30_000
-
-
 @attrs.frozen
 class Tls:
     """Certificate files in PEM format; reloaded when they change.
@@ -138,7 +97,7 @@
     statsd_address: str | None = None
     caller_tls: Tls | None = None
     peer_tls: Tls | None = None
-    limits: CallerLimits = CallerLimits()
+    limits: listening.CallerLimits = listening.CallerLimits()
     balancer_grace_ms: int = 5_000
     drain_ms: int = 60_000
     random_seed: int | None = None
@@ -146,7 +105,7 @@
 
 
 CONSTRAINTS: model_schema.ConstraintTable = {
-    CallerLimits: {
+    listening.CallerLimits: {
         "body_size_bytes": constraints.Constraint(minimum=1_024, maximum=1_073_741_824),
         "header_size_bytes": constraints.Constraint(minimum=1_024, maximum=1_048_576),
         "header_count": constraints.Constraint(minimum=16, maximum=1_024),
--- a/testing/connection/test_tls.py
+++ b/testing/connection/test_tls.py
@@ -14,6 +14,7 @@
 
 from sesamehold.connection import http_listener
 from sesamehold.connection import tls
+from sesamehold.process import listening
 from sesamehold.process import settings
 
 
@@ -40,7 +41,7 @@
 
     application.router.add_get("/healthz", answer)
     return await http_listener.HttpListener.start(
-        application, "127.0.0.1:0", settings.CallerLimits(), context
+        application, "127.0.0.1:0", listening.CallerLimits(), context
     )
 
 
--- a/testing/fault_soak/process/fleet.py
+++ b/testing/fault_soak/process/fleet.py
@@ -64,7 +64,7 @@
             for _ in range(count):
                 await self.add_target(service)
         self.publish()
-        store = platform_stand_in.settings.Address.parse(self.store.address)
+        store = platform_stand_in.listening.Address.parse(self.store.address)
         ips = [self._ip(index) for index in range(HOST_COUNT)]
         for index, ip in enumerate(ips):
             middle = proxy.FaultProxy(self._ip(20 + index), _STORE_PORT, (store.ip, store.port))
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -18,7 +18,7 @@
 from sesamehold.platform import headers
 from sesamehold.platform import stage_calls
 from sesamehold.platform import store
-from sesamehold.process import settings
+from sesamehold.process import listening
 from sesamehold.process.gateway import daemon
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import settings as gateway_settings
@@ -66,7 +66,7 @@
         app.router.add_get("/-/kv-watch", self._watch)
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
-        address = settings.Address.parse(self.address)
+        address = listening.Address.parse(self.address)
         await web.TCPSite(runner, address.ip, address.port).start()
         return runner
 
@@ -236,9 +236,9 @@
         self.routes: list[dict[str, Any]] = []
         self.services: dict[str, dict[str, Any]] = {}
         self.version = 0
-        self.ingress = settings.Address(HOST, free_port())
-        self.readiness = settings.Address(HOST, free_port())
-        self.metrics = settings.Address(HOST, free_port())
+        self.ingress = listening.Address(HOST, free_port())
+        self.readiness = listening.Address(HOST, free_port())
+        self.metrics = listening.Address(HOST, free_port())
         self.gateway: daemon.GatewayDaemon | None = None
         self._stack = contextlib.AsyncExitStack()
         self.gateway_task: asyncio.Task[None] | None = None
@@ -299,9 +299,9 @@
             zone="z1",
             ingress_address=self.ingress,
             readiness_address=self.readiness,
-            peer_address=settings.Address(HOST, free_port()),
+            peer_address=listening.Address(HOST, free_port()),
             metrics_address=self.metrics,
-            store_address=settings.Address.parse(self.store.address),
+            store_address=listening.Address.parse(self.store.address),
         )
         platform_store = store.PlatformStore.from_config(config.store_address)
         adapter = daemon.Adapter(
@@ -320,7 +320,7 @@
             await asyncio.sleep(0.01)
         return self.gateway
 
-    async def send(self, data: bytes, *, address: settings.Address | None = None) -> bytes:
+    async def send(self, data: bytes, *, address: listening.Address | None = None) -> bytes:
         """Sends bytes on a new connection; returns all that comes until it is closed."""
         target = address or self.ingress
         reader, writer = await asyncio.open_connection(target.ip, target.port)
