Hand over open jobs only, and name the way to find targets

Cause: read-through. A host that another one leads logged a handover for jobs that were done and only waited to be freed, and the scheduler had a default that knows no targets, which only tests used.

Change: the number of open jobs decides; the function that finds targets is an argument.

--- a/bench/sesamehold_bench/process/stage_sweep.py
+++ b/bench/sesamehold_bench/process/stage_sweep.py
@@ -144,7 +144,10 @@
         ]
         for service, count in TARGET_COUNTS.items()
     }
-    scheduler = stage_scheduler.StageScheduler(lambda service: pools.get(service, []), POOLS.get)
+    by_id = {target.target_id: target for pool in pools.values() for target in pool}
+    scheduler = stage_scheduler.StageScheduler(
+        lambda service: pools.get(service, []), POOLS.get, by_id.get
+    )
     run = _Run(random.Random(seed), duration_s * 1_000, scheduler)
     at_ms = 0.0
     while at_ms < run.duration_ms:
--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -97,8 +97,8 @@
             return
         if self._led_since_ms is None:
             self._led_since_ms = now_ms
-        if now_ms - self._led_since_ms >= LED_MS and len(self._stages):
-            self._state.log.write("stages.handed-over", peer=lead, jobs=len(self._stages))
+        if now_ms - self._led_since_ms >= LED_MS and self._stages.open_count:
+            self._state.log.write("stages.handed-over", peer=lead, jobs=self._stages.open_count)
             self._stages.set_in_charge(False)
 
     def _answer(self, now_ms: int) -> gossip.Rumour:
--- a/src/sesamehold/process/gateway/stage_pool.py
+++ b/src/sesamehold/process/gateway/stage_pool.py
@@ -54,6 +54,11 @@
     def __len__(self) -> int:
         return len(self._scheduler)
 
+    @property
+    def open_count(self) -> int:
+        """Returns the number of requests whose stages are not all done."""
+        return self._scheduler.open_count
+
     async def run(
         self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
     ) -> Result[ports.StageResults, ports.StageFailure]:
@@ -135,7 +140,7 @@
         else:
             finished = self._scheduler.hand_over(now_ms)
             # Orders that come later are taken again: their senders know no better host.
-            self._in_charge = not self._scheduler.open_count
+            self._in_charge = not self.open_count
         self._settle(finished)
         for call in calls:
             self._start(self._call(call))
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -65,7 +65,7 @@
 
     usable: Callable[[str], list[targets.Target]]
     pool_of: Callable[[str], routing.StagePool | None]
-    find: Callable[[str], targets.Target | None] = lambda target_id: None  # noqa: ARG005
+    find: Callable[[str], targets.Target | None]
     _queue: stage_queue.StageQueue = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -32,9 +32,13 @@
             for name in self.pools
         }
         self.scheduler = stage_scheduler.StageScheduler(
-            lambda service: self.targets.get(service, []), self.pools.get
+            lambda service: self.targets.get(service, []), self.pools.get, self.find
         )
 
+    def find(self, target_id: str) -> targets.Target | None:
+        known = (target for items in self.targets.values() for target in items)
+        return next((target for target in known if target.target_id == target_id), None)
+
     def submit(self, request_id: str, now_ms: int = 0, **changes: Any) -> object:
         return self.scheduler.submit(_request(request_id, **changes), now_ms)
 
@@ -312,7 +316,6 @@
 def _taken_over(world: World, first: stage_workers.Call) -> World:
     """Returns the world of another host that goes on with what `first` has made."""
     other = World()
-    other.scheduler.find = {t.target_id: t for ts in other.targets.values() for t in ts}.get
     made = first.pieces[0].job.made_pieces()
     assert world.scheduler.hand_over(300)[0].failure == ports.StageFailure(ports.HANDED_OVER, 0)
     assert len(world.scheduler) == 0
@@ -341,7 +344,6 @@
     """Guards against inputs that a target has lost."""
     world = World()
     made = (ports.MadePiece(0, 0, "h", "a0", 0), ports.MadePiece(0, 1, "i", "unknown", 1))
-    world.scheduler.find = {"a0": world.targets["a"][0]}.get
     world.submit("r1", made=made)
     (call,) = world.plan(0)
     assert len(call.orders) == 2
@@ -350,7 +352,6 @@
 def test_results_whose_followers_are_done_are_freed() -> None:
     """Guards the room of targets, and against stages done twice, after a change of hosts."""
     world = World()
-    world.scheduler.find = {t.target_id: t for ts in world.targets.values() for t in ts}.get
     made = (ports.MadePiece(0, 0, "h", "a0", 1), ports.MadePiece(1, 0, "i", "b0", 1))
     stages = [("a", (), 1, 10), ("b", (0,), 1, 10), ("a", (1,), 1, 10)]
     world.submit("r1", stages=stages, made=made)
