--- a/testing/bench/test_stage_sweep.py
+++ b/testing/bench/test_stage_sweep.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from sesamehold_bench.process import stage_sweep
 
 
