--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export PYTHONPATH := src:bench:testing:specs
 
-.PHONY: demo test check format lint types pytest check-models bench reference generate
+.PHONY: demo test check format lint types pytest soak check-models bench reference generate
 
 $(STAMP): requirements.txt requirements-runtime.txt
 	$(PYTHON) -m venv $(VENV)
@@ -32,6 +32,10 @@
 pytest: $(STAMP)
 	$(BIN)/python -m pytest -q
 
+# Plays fresh seeds of the fault soak; docs/fault-soak.md tells more.
+soak: $(STAMP)
+	$(BIN)/python -m fault_soak.process.run --seeds 10 --first $$(date +%s)
+
 check-models: $(STAMP)
 	$(BIN)/python -m sesamehold_specs.check --full
 
