Pass on all items of the store to a host that may have missed a deletion

Change: a replica knows since which revision its tombstones are complete, and passes on a listing to a host that is further behind. The message between hosts has one new field; an older host ignores it and treats the listing as changes, as before.

--- a/src/sesamehold/connection/gateway/peer_service.py
+++ b/src/sesamehold/connection/gateway/peer_service.py
@@ -126,29 +126,42 @@
     reply = gateway_pb2.ReplicaReply()
     for part in known:
         replica = watcher.replicas.get(part.prefix)
-        if replica is None or replica.horizon <= part.horizon:
-            continue
-        wire = reply.parts.add(prefix=part.prefix, horizon=replica.horizon)
-        for item in replica.changes_since(part.horizon):
-            wire.items.add(
-                key=item.key,
-                value=item.value or b"",
-                deleted=item.value is None,
-                revision=item.revision,
-            )
+        if replica is not None and replica.horizon > part.horizon:
+            reply.parts.append(update_to_wire(part.prefix, replica.update_since(part.horizon)))
     return reply
 
 
+def update_to_wire(prefix: str, update: store_replica.ReplicaUpdate) -> gateway_pb2.ReplicaPart:
+    """Encodes an update of one prefix."""
+    wire = gateway_pb2.ReplicaPart(
+        prefix=prefix, horizon=update.horizon, is_listing=update.is_listing
+    )
+    for item in update.items:
+        wire.items.add(
+            key=item.key,
+            value=item.value or b"",
+            deleted=item.value is None,
+            revision=item.revision,
+        )
+    return wire
+
+
+def update_from_wire(part: gateway_pb2.ReplicaPart) -> store_replica.ReplicaUpdate:
+    """Decodes an update of one prefix."""
+    items = tuple(
+        store_replica.StoreItem(item.key, None if item.deleted else item.value, item.revision)
+        for item in part.items
+    )
+    return store_replica.ReplicaUpdate(items, part.horizon, part.is_listing)
+
+
 def apply_reply(
     watcher: directory_watcher.DirectoryWatcher, reply: gateway_pb2.ReplicaReply
 ) -> int:
     """Merges the items of a reply into the local replicas; returns their number."""
     count = 0
     for part in reply.parts:
-        items = [
-            store_replica.StoreItem(item.key, None if item.deleted else item.value, item.revision)
-            for item in part.items
-        ]
-        count += len(items)
-        watcher.merge_from_peer(part.prefix, items, part.horizon)
+        update = update_from_wire(part)
+        count += len(update.items)
+        watcher.merge_from_peer(part.prefix, update)
     return count
--- a/src/sesamehold/process/gateway/store_replica.py
+++ b/src/sesamehold/process/gateway/store_replica.py
@@ -38,6 +38,21 @@
     revision: int
 
 
+@attrs.frozen
+class ReplicaUpdate:
+    """What one host passes to another that is behind it.
+
+    Attributes:
+        items: Items that have changed, or all items.
+        horizon: Store revision up to which the items are complete.
+        is_listing: Whether these are all items, so that keys that are missing were deleted.
+    """
+
+    items: tuple[StoreItem, ...]
+    horizon: int
+    is_listing: bool = False
+
+
 @attrs.define
 class StoreReplica:
     """Replica of the items below one prefix.
@@ -51,6 +66,9 @@
     horizon: int = 0
     _items: dict[str, StoreItem] = attrs.field(factory=dict)
     _deleted_at_ms: dict[str, int] = attrs.field(factory=dict)
+    # Store revision after which every deletion has a tombstone here. A listing does not tell which
+    # keys were deleted before it.
+    _deletions_known_since: int = 0
 
     def merge_listing(self, listing: StoreListing, now_ms: int) -> list[StoreItem]:
         """Merges a complete listing; returns the items that changed.
@@ -66,6 +84,7 @@
         ]
         changed += self._merge(missing, now_ms)
         self.horizon = max(self.horizon, listing.revision)
+        self._deletions_known_since = max(self._deletions_known_since, listing.revision)
         return changed
 
     def merge_changes(
@@ -76,9 +95,22 @@
         self.horizon = max(self.horizon, horizon)
         return changed
 
-    def changes_since(self, revision: int) -> list[StoreItem]:
-        """Returns the items that changed after a revision, including tombstones."""
-        return [item for item in self._items.values() if item.revision > revision]
+    def update_since(self, revision: int) -> ReplicaUpdate:
+        """Returns what a host needs that knows all changes up to a revision.
+
+        It gets all items if the tombstones here may not cover every deletion since that revision.
+        """
+        if revision < self._deletions_known_since:
+            items = tuple(item for item in self._items.values() if item.value is not None)
+            return ReplicaUpdate(items, self.horizon, is_listing=True)
+        items = tuple(item for item in self._items.values() if item.revision > revision)
+        return ReplicaUpdate(items, self.horizon)
+
+    def merge_update(self, update: ReplicaUpdate, now_ms: int) -> list[StoreItem]:
+        """Merges what another host has passed on; returns the items that changed here."""
+        if update.is_listing:
+            return self.merge_listing(StoreListing(update.items, update.horizon), now_ms)
+        return self.merge_changes(update.items, update.horizon, now_ms)
 
     def items(self) -> Mapping[str, StoreItem]:
         """Returns the items by key, including tombstones."""
@@ -104,4 +136,5 @@
         expired = [key for key, deleted_ms in self._deleted_at_ms.items() if deleted_ms < limit_ms]
         for key in expired:
             del self._deleted_at_ms[key]
-            del self._items[key]
+            revision = self._items.pop(key).revision
+            self._deletions_known_since = max(self._deletions_known_since, revision)
