Make the freed inputs of a stage again before the stage itself is made again

When the target of the last stage reports that its inputs are gone, the stage before it runs again; its own inputs had been freed meanwhile and were not made again. Real targets reject such a piece, and after four attempts the request fails. Ruled out: hedged calls and lack of memory, which already make freed inputs again. Change: discarding the inputs of a stage also discards their freed inputs. Before: the new test fails (the second stage is called first, with an empty handle). After: passes.

--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -262,6 +262,7 @@
             stage = self._stages[dependency]
             dropped += stage.results.values()
             stage.results.clear()
+            self._rerun_released_inputs(dependency)
         return dropped
 
     def release_consumed_results(self) -> list[StoredResult]:
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -407,3 +407,29 @@
     assert harness.scheduler.open_count == 0
     harness.scheduler.release("r1")
     assert len(harness.confirm_freed()) == 2
+
+
+def test_lost_input_is_made_again_from_inputs_that_still_exist() -> None:
+    """Guards against a piece that is sent without its inputs.
+
+    The results of the first stage have been freed when the target of the last stage finds that the
+    results of the second are gone; the second stage must not run before the first has run again.
+    """
+    harness = Harness({"a": POOL, "b": POOL, "c": POOL})
+    harness.submit("r1", stages=[("a", (), 1, 10), ("b", (0,), 1, 10), ("c", (1,), 1, 10)])
+    (first,) = harness.plan(0)
+    harness.complete(first, 210)
+    started_ms = stage_scheduler.TAKEOVER_CONTENTION_MS
+    (second,) = harness.plan(started_ms)
+    harness.scheduler.on_inputs_read(second, started_ms + 50)
+    harness.complete(second, started_ms + 210)
+    assert harness.confirm_freed()
+    (third,) = harness.plan(started_ms + 210)
+    gone = [ports.PieceResult(None, "gone")]
+    assert harness.scheduler.on_results(third, gone, started_ms + 420) == []
+    (repeated,) = harness.plan(started_ms + 420)
+    assert repeated.target.service == "a"
+    harness.complete(repeated, started_ms + 630)
+    (again,) = harness.plan(started_ms + 630)
+    assert again.target.service == "b"
+    assert all(handle for piece_call in again.piece_calls for handle in piece_call.inputs)
