Cut off answers without end, and tell a stalled stream from a slow one

Ruled out by tests that pass before: heads, header lines, interim answers and failures without end. Change: the protocol of target connections closes one that receives bytes while idle, limits framing without a body, and fails the body when the framing is invalid; stage calls use new connections; progress of a stream is an event with a new id, and silence breaks a stream only if it can be resumed. New connections cost 1 ms each at the targets.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import socket
+from typing import Any
 
 import aiohttp
 from aiohttp import client_proto
@@ -41,8 +42,12 @@
 MAX_IDLE_MS = 2_000
 MAX_IDLE_PER_TARGET = 8
 HEADER_LIMIT_BYTES = 65_536
-# Responses to earlier requests that are skipped on one connection before it is closed.
+# Responses to earlier requests that are skipped on one connection before it is closed, and the most
+# bytes of their bodies.
 MAX_STALE_RESPONSES = 4
+MAX_STALE_BYTES = 1_048_576
+# Received bytes, such as chunk extensions, that may pass without a byte of the body.
+MAX_FRAMING_BYTES = 131_072
 _MS_PER_S = 1_000
 
 _CONNECTION_ERRORS = (
@@ -66,12 +71,46 @@
 
 
 class TargetProtocol(client_proto.ResponseHandler):
-    """Response protocol that distinguishes a reset from an orderly close.
+    """Response protocol that is stricter than its base class with a misbehaving target.
 
-    The base class accepts either one as the end of a body that is delimited by connection close.
+    It distinguishes a reset from an orderly close, which the base class accepts alike as the end of
+    a body without a length. It closes a connection on which bytes arrive while no request waits, or
+    that delivers no body, and it fails the body when the framing is invalid.
     """
 
     was_reset: bool = False
+    is_idle: bool = False
+    body: streams.StreamReader | None = None
+    _framing_bytes: int = 0
+
+    def begin_request(self) -> None:
+        """Prepares for the response to the next request on this connection."""
+        self.is_idle = False
+        self.body = None
+        self._framing_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; closes the connection if they belong to no response."""
+        if self.is_idle:
+            self.abort()
+            return
+        known_bytes = self.body.total_bytes if self.body is not None else 0
+        super().data_received(data)
+        if self.body is None:
+            return
+        if self.body.total_bytes > known_bytes:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self.set_exception(aiohttp.ClientPayloadError("no body in the received bytes"))
+            self.abort()
+
+    def set_exception(self, exc: BaseException, *cause: Any) -> None:
+        """Fails the pending read of the head and of the body."""
+        super().set_exception(exc, *cause)
+        if self.body is not None and not self.body.is_eof():
+            self.body.set_exception(exc)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records whether the connection was reset."""
@@ -145,6 +184,7 @@
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         """Sends one request and waits for the response headers; see `ports.TargetClient`."""
         connection = self._acquire(target) if reuse else None
+        is_reused = connection is not None
         if connection is None:
             try:
                 connection = await self._open(target)
@@ -156,6 +196,7 @@
         transport = protocol.transport
         if transport is None or transport.is_closing():
             return Error(ports.ExchangeFault("closed-before-send", sent=False))
+        protocol.begin_request()
         protocol.set_response_params(
             read_until_eof=True,
             auto_decompress=False,
@@ -164,7 +205,7 @@
         )
         transport.write(request)
         try:
-            return await self._read_head(target, connection, request_id)
+            return await self._read_head(target, connection, request_id, is_reused=is_reused)
         except BaseException:
             protocol.abort()
             raise
@@ -185,6 +226,7 @@
             protocol.abort()
             return
         connection.idle_since_ms = self._clock.now_ms()
+        protocol.is_idle = True
         idle.append(connection)
 
     def close_idle_to(self, address: str) -> None:
@@ -234,16 +276,23 @@
         return _PooledConnection(protocol, target.incarnation)
 
     async def _read_head(
-        self, target: targets.Target, connection: _PooledConnection, request_id: str | None
+        self,
+        target: targets.Target,
+        connection: _PooledConnection,
+        request_id: str | None,
+        *,
+        is_reused: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         protocol = connection.protocol
+        stale_bytes = 0
         for _ in range(MAX_STALE_RESPONSES):
             try:
                 message, payload = await protocol.read()
                 if message.code < 200:
                     continue
                 head = self._codec.decode_answer_head(message.code, tuple(message.raw_headers))
-                if head.request_id is None or request_id is None or head.request_id == request_id:
+                protocol.body = payload
+                if _is_answer_to(request_id, head, is_reused=is_reused):
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
                     delimited_by_close = head.content_length is None and not message.chunked
                     return Ok(
@@ -252,8 +301,10 @@
                         )
                     )
                 # A late response to an earlier request; the response to this one follows it.
-                while await payload.readany():
-                    pass
+                while stale_bytes <= MAX_STALE_BYTES and (data := await payload.readany()):
+                    stale_bytes += len(data)
+                if stale_bytes > MAX_STALE_BYTES:
+                    break
             except http_exceptions.HttpProcessingError:
                 protocol.abort()
                 return Error(ports.ExchangeFault("not-http", sent=True))
@@ -266,6 +317,18 @@
         return Error(ports.ExchangeFault("only-late-answers", sent=True))
 
 
+def _is_answer_to(request_id: str | None, head: messages.AnswerHead, *, is_reused: bool) -> bool:
+    """Returns whether a response belongs to a request.
+
+    A response without an id may belong to an earlier request if the connection had one.
+    """
+    if request_id is None:
+        return True
+    if head.request_id is None:
+        return not is_reused
+    return head.request_id == request_id
+
+
 def _idle_limit_ms(keep_alive_timeout_ms: int | None) -> int:
     if keep_alive_timeout_ms is None:
         return DEFAULT_IDLE_MS
--- a/src/sesamehold/process/gateway/retry_budget.py
+++ b/src/sesamehold/process/gateway/retry_budget.py
@@ -41,12 +41,16 @@
             host_count: Upper bound of the number of running hosts.
             now_ms: Monotonic time.
         """
-        retries = self._counter(self._retries, service)
-        if retries.total(now_ms) + 1 > self.allowance(service, host_count, now_ms):
+        if not self.has_left(service, host_count, now_ms):
             return False
-        retries.add(now_ms)
+        self._counter(self._retries, service).add(now_ms)
         return True
 
+    def has_left(self, service: str, host_count: int, now_ms: int) -> bool:
+        """Returns whether a retry is left; takes the same arguments as `try_spend`."""
+        spent = self._counter(self._retries, service).total(now_ms)
+        return spent + 1 <= self.allowance(service, host_count, now_ms)
+
     def allowance(self, service: str, host_count: int, now_ms: int) -> float:
         """Returns the number of retries that this host may send within one window."""
         requests = self._counter(self._requests, service).total(now_ms)
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -25,6 +25,8 @@
 # Time after the start of a call at which its inputs count as fetched: an idle target fetches them
 # at once, which takes milliseconds.
 INPUT_FETCH_S = 0.05
+# Longest answer to a stage call: a few hundred handles of less than 100 bytes.
+MAX_ANSWER_BYTES = 1_048_576
 # Results that are freed within this time share a call.
 FREE_BATCH_DELAY_S = 0.003
 _MS_PER_S = 1_000
@@ -192,7 +194,9 @@
         timeout_s = call.expected_ms * stage_workers.TIMEOUT_FACTOR / _MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                sent = await self._client.send(call.target, request, None, reuse=True)
+                # Answers to stage calls carry no request id, so a second copy of an earlier answer
+                # could not be told from the answer to this call on a reused connection.
+                sent = await self._client.send(call.target, request, None, reuse=False)
                 match sent:
                     case Result(tag="ok", ok=answer):
                         return await self._read_results(call, answer)
@@ -207,8 +211,14 @@
         self, call: stage_workers.Call, answer: ports.TargetAnswer
     ) -> Result[list[ports.PieceResult], stage_scheduler.CallFault]:
         fault = stage_scheduler.CallFault
+        chunks: list[bytes] = []
+        size_bytes = 0
         try:
-            body = b"".join([chunk async for chunk in answer.chunks()])
+            async for chunk in answer.chunks():
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes > MAX_ANSWER_BYTES:
+                    return Error(fault("answer-too-large", may_have_run=True, reachable=True))
         except ports.BrokenAnswerError:
             return Error(fault("broken-answer", may_have_run=True, reachable=True))
         finally:
@@ -219,7 +229,7 @@
             )
         if answer.head.status != _STATUS_OK:
             return Error(fault(f"status-{answer.head.status}", may_have_run=True, reachable=True))
-        results = self._codec.decode_results(body, len(call.pieces))
+        results = self._codec.decode_results(b"".join(chunks), len(call.pieces))
         if results is None:
             return Error(fault("malformed-answer", may_have_run=True, reachable=True))
         return Ok(results)
--- a/src/sesamehold/request/gateway/attempts.py
+++ b/src/sesamehold/request/gateway/attempts.py
@@ -88,6 +88,11 @@
         """Returns whether any attempt may have started to run on a target."""
         return self.runs > 0
 
+    @property
+    def may_run_again(self) -> bool:
+        """Returns whether another target may run the request after the current attempt."""
+        return self.repeatable and self.runs + 1 < self.max_runs
+
     def record(self, result: AttemptResult) -> NextStep:
         """Records the result of an attempt and returns the next step.
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -306,11 +306,20 @@
         first = True
         self._splitter.discard_partial_event()
         chunks = answer.chunks()
+        progress_ms = self._now_ms()
+        may_resume = self._may_resume()
         while True:
-            chunk = await self._next_chunk(chunks, first=first)
+            stall_at_ms = self._stall_at_ms(progress_ms, first=first) if may_resume else None
+            chunk = await self._next_chunk(chunks, stall_at_ms)
             if chunk is None:
                 break
-            events = self._splitter.feed(chunk)
+            known_id = self._splitter.last_id
+            try:
+                events = self._splitter.feed(chunk)
+            except event_stream.EventTooLargeError as error:
+                raise ports.BrokenAnswerError(str(error)) from error
+            if self._splitter.last_id != known_id:
+                progress_ms = self._now_ms()
             if not events:
                 continue
             if first:
@@ -325,13 +334,19 @@
         await self._finish_answer()
         return None
 
-    async def _next_chunk(self, chunks: AsyncIterator[bytes], *, first: bool) -> bytes | None:
-        if not self._route.resumable:
+    async def _next_chunk(
+        self, chunks: AsyncIterator[bytes], stall_at_ms: int | None
+    ) -> bytes | None:
+        """Returns the next part of a stream, None at its end.
+
+        Args:
+            chunks: Parts of the stream.
+            stall_at_ms: Monotonic time from which the stream is broken, None if it never is.
+        """
+        if stall_at_ms is None:
             return await anext(chunks, None)
-        stall_ms = max(MIN_STALL_MS, self._route.event_gap_goal_ms * STALL_GAP_FACTOR)
-        if first:
-            stall_ms = max(stall_ms, self._route.latency_goal_ms)
-        stall_timeout = asyncio.timeout(stall_ms / _MS_PER_S)
+        left_ms = max(0, stall_at_ms - self._now_ms())
+        stall_timeout = asyncio.timeout(left_ms / _MS_PER_S)
         try:
             async with stall_timeout:
                 return await anext(chunks, None)
@@ -340,6 +355,29 @@
                 raise ports.BrokenAnswerError("silent") from None
             raise
 
+    def _stall_at_ms(self, progress_ms: int, *, first: bool) -> int:
+        """Returns when the stream has stalled: too long without an event that has a new id.
+
+        Other bytes, such as comments or parts of an event, are no progress.
+        """
+        stall_ms = max(MIN_STALL_MS, self._route.event_gap_goal_ms * STALL_GAP_FACTOR)
+        if first:
+            stall_ms = max(stall_ms, self._route.latency_goal_ms)
+        return progress_ms + stall_ms
+
+    def _may_resume(self) -> bool:
+        """Returns whether another target could go on with the stream; without one it is not cut."""
+        state = self._services.state
+        now_ms = self._now_ms()
+        return (
+            self._route.resumable
+            and self._attempts.may_run_again
+            and self._search.has_untried()
+            and state.retry_budget.has_left(
+                self._service, len(state.hosts.known_addresses(now_ms)), now_ms
+            )
+        )
+
     def _release_inputs(self) -> None:
         # The engine has read the results; freeing them makes room for other waiting requests.
         if self._has_stages:
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -50,6 +50,11 @@
                 return None
             await asyncio.sleep(TARGET_POLL_S)
 
+    def has_untried(self) -> bool:
+        """Returns whether a usable target exists that the request was not sent to."""
+        candidates = self._state.directory.usable(self._service)
+        return any(item.incarnation not in self.tried for item in candidates)
+
     def preferred_zone(self) -> str:
         """Returns the availability zone of the best engine for the request, empty for any."""
         if self._head.prompt is None:
