--- a/testing/platform/test_answers_without_end.py
+++ b/testing/platform/test_answers_without_end.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import itertools
-import json
 
 import platform_stand_in as stand_in
 from platform_stand_in import Exchange
@@ -17,15 +16,6 @@
 # buffers, and the buffers of both sockets.
 MAX_ACCEPTED_BYTES = 16_000_000
 ROUTE_TIMEOUT_MS = 1_500
-PIECES = {
-    "slots": 1,
-    "queue": 2,
-    "batch": 4,
-    "callMs": 5.0,
-    "itemMs": 1.0,
-    "roomMb": 1.0,
-    "handleS": 4.0,
-}
 
 _HEAD = {"Server-Seal": "s"}
 _STREAM = {**_HEAD, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
@@ -287,14 +277,6 @@
             return await site.send(stand_in.request("/svc/x", Deadline_Remaining="9000"))
 
 
-def _stage_items(exchange: Exchange) -> bytes:
-    items = json.loads(exchange.body)["items"]
-    made = [
-        {"handle": f"127.0.0.1:1/{item['id']}-{item['stage']}-{item['piece']}"} for item in items
-    ]
-    return json.dumps({"items": made}).encode()
-
-
 class SecondCopies:
     """Stage worker that sends its last answer on a connection once more before the next one."""
 
@@ -305,7 +287,7 @@
         copy = self.last_body.pop(exchange.writer, None)
         if copy is not None:
             exchange.send(200, copy)
-        body = b"" if exchange.target.endswith("stage-free") else _stage_items(exchange)
+        body = b"" if exchange.target.endswith("stage-free") else stand_in.stage_results(exchange)
         exchange.send(200, body, Keep_Alive="timeout=60")
         if body:
             self.last_body[exchange.writer] = body
@@ -315,7 +297,7 @@
     site = stand_in.GatewayEnvironment()
     stages = [{"service": "st", "after": [], "bytes": 10}]
     site.routes = [stand_in.route("svc", "idempotent", stages=stages)]
-    site.services["st"] = {"name": "st", "pieces": PIECES}
+    site.services["st"] = {"name": "st", "pieces": stand_in.STAGE_POOL}
 
     async def engine(exchange: Exchange) -> None:
         await asyncio.sleep(engine_s)
@@ -368,7 +350,7 @@
             if calls == 1:
                 await worker(exchange)
             else:
-                exchange.send(200, _stage_items(exchange))
+                exchange.send(200, stand_in.stage_results(exchange))
 
         site = _stage_site(script)
         async with site:
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -11,15 +11,6 @@
 import pytest
 
 EVENTS = [b"id: %d\ndata: e%d\n\n" % (index, index) for index in range(1, 5)]
-PIECES = {
-    "slots": 1,
-    "queue": 2,
-    "batch": 4,
-    "callMs": 5.0,
-    "itemMs": 1.0,
-    "roomMb": 1.0,
-    "handleS": 4.0,
-}
 
 
 async def _ok(exchange: Exchange) -> None:
@@ -388,11 +379,7 @@
     if exchange.target.endswith("stage-free"):
         exchange.send(200, b"")
         return
-    items = json.loads(exchange.body)["items"]
-    made = [
-        {"handle": f"127.0.0.1:1/{item['id']}-{item['stage']}-{item['piece']}"} for item in items
-    ]
-    exchange.send(200, json.dumps({"items": made}).encode())
+    exchange.send(200, stand_in.stage_results(exchange))
 
 
 def test_stages_run_before_the_request_and_are_freed_after_it() -> None:
@@ -410,7 +397,7 @@
                 ],
             )
         ]
-        site.services["st"] = {"name": "st", "pieces": PIECES}
+        site.services["st"] = {"name": "st", "pieces": stand_in.STAGE_POOL}
         engine = site.add_worker("i-0", "svc", _ok)
         stage = site.add_worker("i-1", "st", _stage_worker)
         site.publish()
@@ -461,7 +448,7 @@
         site = stand_in.GatewayEnvironment()
         stages = [{"service": "st", "after": [], "bytes": 10}]
         site.routes = [stand_in.route("svc", "streaming", resumable=True, stages=stages)]
-        site.services["st"] = {"name": "st", "pieces": PIECES}
+        site.services["st"] = {"name": "st", "pieces": stand_in.STAGE_POOL}
         site.add_worker("i-0", "svc", breaking)
         site.add_worker("i-1", "st", failing_stage)
         site.publish()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -25,6 +25,15 @@
 
 HOST = "127.0.0.1"
 KEY = "key-1"
+STAGE_POOL = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 4,
+    "callMs": 5.0,
+    "itemMs": 1.0,
+    "roomMb": 1.0,
+    "handleS": 4.0,
+}
 
 
 def free_port() -> int:
@@ -161,6 +170,15 @@
         self.writer.transport.abort()
 
 
+def stage_results(exchange: Exchange) -> bytes:
+    """Returns the body of the answer to a stage call, with a handle that names each piece."""
+    items = json.loads(exchange.body)["items"]
+    made = [
+        {"handle": f"127.0.0.1:1/{item['id']}-{item['stage']}-{item['piece']}"} for item in items
+    ]
+    return json.dumps({"items": made}).encode()
+
+
 class WorkerStandIn:
     """Fake worker that answers each request by a script, over persistent connections."""
 
