Log the prompt parts and the crash count of a request whose connection broke

Callers saw failures of which the log could not tell the cause: a broken attempt named neither the parts of its prompt nor the crashes counted for the request. The line request.suspected names both.

--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -228,7 +228,7 @@
             return attempts.AttemptResult.NOT_SENT
         state.ranking.record_failure(target, now_ms)
         if fault.connection_broken:
-            self._record_crash(started_ms)
+            self._record_crash(target, started_ms)
         return attempts.AttemptResult.UNKNOWN
 
     async def _handle_answer(
@@ -244,7 +244,7 @@
         except ports.BrokenAnswerError as error:
             self._log("attempt.broken", target=target.target_id, fault=str(error))
             state.ranking.record_failure(target, self._now_ms())
-            self._record_crash(started_ms)
+            self._record_crash(target, started_ms)
             return (
                 attempts.AttemptResult.NOT_RUN if head.not_run else attempts.AttemptResult.UNKNOWN
             )
@@ -492,11 +492,20 @@
         state.metrics.attempt_seconds.labels(self._service).observe(seconds)
         state.metrics.attempts.labels(self._service, "answered").inc()
 
-    def _record_crash(self, started_ms: int) -> None:
-        if self._splitter.event_count == 0:
-            state = self._services.state
-            now_ms = self._now_ms()
-            state.suspects.record_crash(self._fingerprint, "", started_ms, now_ms)
+    def _record_crash(self, target: targets.Target, started_ms: int) -> None:
+        if self._splitter.event_count:
+            return
+        state = self._services.state
+        now_ms = self._now_ms()
+        state.suspects.record_crash(self._fingerprint, "", started_ms, now_ms)
+        prompt = self._incoming.head.prompt
+        self._log(
+            "request.suspected",
+            target=target.incarnation,
+            fingerprint=self._fingerprint.hex()[:16],
+            parts=None if prompt is None else [part.part_id for part in prompt.shared_parts],
+            crashes=state.suspects.crashes(self._fingerprint, now_ms),
+        )
 
     def _record_outcome(self) -> None:
         state = self._services.state
