Attribute crashes of targets to prompt parts, so that a fatal part is refused on all hosts

What callers saw: up to 20% of all requests failed while engines crashed one after the other, since requests that share a fatal prompt part were sent as if nothing had happened.

Cause: crash suspects were counted by the whole request (account, host, URI, body), and only as a maximum over hosts. Requests that differ never added up. The class of the fault: evidence kept under a key that is finer than the cause.

Ruled out: lost gossip alone (151 suspicions stood at 132 ones, 17 twos, two threes on the hosts that saw the crashes); second sends alone (they double the crashes at most). A complete answer of any kind, even a rejection for lack of room, also cleared a suspect; now only a completed request does.

Change: crash_attribution.py keeps evidence for the request and for each part of its prompt except the last, as sets of crashes that hosts merge in any order. It blames the request after three crashes, a part after three targets and two requests, clears what is completed, and lets one blamed trait explain the crashes of the others. Admission, each send and each resend ask it. One host probes a blamed trait after a growing delay. Field 2 of the gossip message is retired. The table of the product's own path (process/suspects.py) is unchanged.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -17,6 +17,7 @@
 from sesamehold.connection.wire import gateway_grpc
 from sesamehold.connection.wire import gateway_pb2
 from sesamehold.process import listening
+from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import directory_watcher
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import stage_runner
@@ -79,6 +80,7 @@
             chosen = self._state.hosts.next_heartbeat(self._watcher.horizons(), now_ms)
             self._endpoint.send(chosen, self._gossip_message(now_ms, wants_answer=True))
             self._check_leader(now_ms)
+            self._announce_blame(now_ms)
             spread = 0.75 + 0.5 * self._state.rng.random()
             await asyncio.sleep(self._state.hosts.heartbeat_interval_ms * spread / _MS_PER_S)
 
@@ -101,6 +103,16 @@
             self._state.log.write("stages.handed-over", peer=leader, jobs=self._stages.open_count)
             self._stages.set_leader(False)
 
+    def _announce_blame(self, now_ms: int) -> None:
+        """Writes a line when requests with a trait begin, or cease, to be refused on this host."""
+        state = self._state
+        blamed, cleared = state.crashes.take_blame_changes(now_ms)
+        for trait in blamed:
+            state.log.write("trait.blamed", **_trait_fields(trait, state.crashes))
+        for trait in cleared:
+            state.log.write("trait.cleared", **_trait_fields(trait, state.crashes))
+        state.metrics.blamed_traits.inc(len(blamed) - len(cleared))
+
     def _reply(self, now_ms: int) -> gossip.GossipMessage:
         """Returns the reply to a gossip message; it is cached, as many hosts may ask at once."""
         created_ms, message = self._last_reply or (0, None)
@@ -111,14 +123,14 @@
 
     def _gossip_message(self, now_ms: int, *, wants_answer: bool = False) -> gossip.GossipMessage:
         beats = tuple(self._state.hosts.gossip_entries(now_ms))
-        found = tuple(self._state.suspects.export(now_ms)[-gossip.MAX_SUSPICIONS :])
-        return gossip.GossipMessage(beats, found, wants_answer)
+        reports = tuple(self._state.crashes.reports(now_ms))
+        return gossip.GossipMessage(beats, reports, wants_answer)
 
     def _on_message(self, message: gossip.GossipMessage, source: str) -> None:
         now_ms = self._state.clock.now_ms()
         for address in self._state.hosts.merge(message.beats, now_ms):
             self._state.log.write("host.appeared", peer=address)
-        self._state.suspects.merge(message.suspicions, now_ms)
+        self._state.crashes.merge(message.crash_reports, now_ms)
         if message.wants_answer:
             self._endpoint.send([source], self._reply(now_ms))
 
@@ -233,6 +245,16 @@
         self._state.log.write("replica.fetched", peer=address, items=count)
 
 
+def _trait_fields(
+    trait: crash_attribution.Trait, crashes: crash_attribution.CrashAttribution
+) -> dict[str, object]:
+    return {
+        "kind": trait.kind.name.lower(),
+        "digest": trait.digest.hex(),
+        "crashes": crashes.crash_count(trait),
+    }
+
+
 # Failures after which the stages are tried on another host.
 _FAILOVER_KINDS = frozenset(
     {stage_link.STAGE_HOST_LOST, "unknown-stage-service", ports.HANDED_OVER}
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -12,12 +12,11 @@
 
 from sesamehold.connection.wire import gateway_pb2
 from sesamehold.process import listening
-from sesamehold.process import suspects
+from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import hosts
 
 # Fits the minimum MTU of IPv6 (1,280 bytes) including the IP and UDP headers.
 MAX_SIZE_BYTES = 1_200
-MAX_SUSPICIONS = 8
 
 
 @attrs.frozen
@@ -26,23 +25,27 @@
 
     Attributes:
         beats: Heartbeat entries of known hosts.
-        suspicions: Requests that are suspected of crashing targets.
+        crash_reports: Evidence on the causes of crashes of targets.
         wants_answer: Whether the receiver replies with its own entries.
     """
 
     beats: tuple[hosts.HostBeat, ...]
-    suspicions: tuple[suspects.Suspicion, ...] = ()
+    crash_reports: tuple[crash_attribution.TraitReport, ...] = ()
     wants_answer: bool = False
 
 
 def encode(message: GossipMessage) -> bytes:
     """Encodes a message; host entries beyond `MAX_SIZE_BYTES` are dropped from the end."""
     wire = gateway_pb2.Gossip(wants_answer=message.wants_answer)
-    for suspicion in message.suspicions[:MAX_SUSPICIONS]:
-        wire.suspicions.add(
-            fingerprint=suspicion.fingerprint,
-            crash_count=suspicion.crashes,
-            age_ms=suspicion.age_ms,
+    for report in message.crash_reports:
+        wire.crash_evidence.add(
+            is_prompt_part=report.trait.kind is crash_attribution.TraitKind.PROMPT_PART,
+            digest=report.trait.digest,
+            targets=[crash.target for crash in report.crash_ages_ms],
+            ordinals=[crash.ordinal for crash in report.crash_ages_ms],
+            ages_ms=report.crash_ages_ms.values(),
+            requests=report.requests,
+            completed_age_ms=report.completed_age_ms,
         )
     for beat in message.beats:
         wire.hosts.add(
@@ -77,11 +80,24 @@
         )
         for item in wire.hosts
     )
-    found = tuple(
-        suspects.Suspicion(item.fingerprint, "", item.crash_count, item.age_ms)
-        for item in wire.suspicions
+    reports = tuple(_crash_report(item) for item in wire.crash_evidence)
+    return GossipMessage(beats, reports, wire.wants_answer)
+
+
+def _crash_report(item: gateway_pb2.CrashEvidence) -> crash_attribution.TraitReport:
+    kind = crash_attribution.TraitKind.REQUEST
+    if item.is_prompt_part:
+        kind = crash_attribution.TraitKind.PROMPT_PART
+    crash_ages_ms = {
+        crash_attribution.CrashId(target, ordinal): age_ms
+        for target, ordinal, age_ms in zip(item.targets, item.ordinals, item.ages_ms, strict=False)
+    }
+    return crash_attribution.TraitReport(
+        crash_attribution.Trait(kind, item.digest),
+        crash_ages_ms,
+        frozenset(item.requests),
+        item.completed_age_ms if item.HasField("completed_age_ms") else None,
     )
-    return GossipMessage(beats, found, wire.wants_answer)
 
 
 @attrs.define(eq=False)
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -27,6 +27,7 @@
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
+    blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -79,6 +80,11 @@
         self.store_calls = counter(
             "sesamehold_store_calls_total", "Calls to the store.", ["outcome"], registry=registry
         )
+        self.blamed_traits = prometheus_client.Gauge(
+            "sesamehold_blamed_traits",
+            "Requests and prompt parts that are refused because they crash targets.",
+            registry=registry,
+        )
         self.dropped_log_lines = prometheus_client.Gauge(
             "sesamehold_dropped_log_lines", "Log lines that were dropped.", registry=registry
         )
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -7,8 +7,8 @@
 import attrs
 
 from sesamehold.process import clock as clocks
-from sesamehold.process import suspects
 from sesamehold.process.gateway import cold_rate_limit
+from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import metrics
@@ -35,8 +35,8 @@
         ranking: Ranking of targets by this host's observations.
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
+        crashes: Attribution of crashes of targets to requests and prompt parts.
         route_latency: Latency estimate for each route.
-        suspects: Requests suspected of crashing targets.
         table: Current routing table, None until a configuration has been read.
         stopping: Whether a graceful shutdown has begun.
         closed: Whether new requests are refused because the process is about to end.
@@ -53,8 +53,8 @@
     ranking: target_ranking.TargetRanking
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
+    crashes: crash_attribution.CrashAttribution
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
-    suspects: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
     table: routing.RoutingTable | None = None
     stopping: bool = False
     closed: bool = False
@@ -85,6 +85,7 @@
             ranking=target_ranking.TargetRanking(config.zone),
             retry_budget=retry_budget.RetryBudget(config.bounds),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
+            crashes=crash_attribution.CrashAttribution(address),
         )
 
     def is_ready(self) -> bool:
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -8,6 +8,7 @@
 from expression import Result
 import xxhash
 
+from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import state as states
 from sesamehold.request import deadline as deadlines
 from sesamehold.request.gateway import messages
@@ -18,8 +19,6 @@
 STOPPING_RETRY_MS = 20
 # Jitter of the retry delay as a fraction of it, so that callers do not retry at the same time.
 RETRY_JITTER = 0.5
-# Number of consecutive broken connections after which a request is assumed to crash its targets.
-MAX_CRASHES = 3
 
 
 @attrs.frozen
@@ -46,14 +45,16 @@
         account: Client account of the caller, None for anonymous routes.
         service: Service that runs the request.
         deadline: Time by which the answer must be complete.
-        fingerprint: Hash of client account, host, target URI and body.
+        traits: The request and its prompt parts, for the attribution of crashes.
+        probed_trait: Trait that is blamed for crashes and is tried again with this request.
     """
 
     route: routing.Route
     account: routing.RoutedAccount | None
     service: str
     deadline: deadlines.Deadline
-    fingerprint: bytes
+    traits: crash_attribution.RequestTraits
+    probed_trait: crash_attribution.Trait | None = None
 
 
 def admit(
@@ -78,14 +79,15 @@
     budget_ms = route.timeout_ms
     if head.budget_ms is not None:
         budget_ms = min(budget_ms, head.budget_ms)
-    fingerprint = _fingerprint(incoming, account)
+    traits = _traits(incoming, account)
     now_ms = state.clock.now_ms()
-    if state.suspects.crashes(fingerprint, now_ms) >= MAX_CRASHES:
+    blamed = state.crashes.blamed_trait(traits, now_ms)
+    if blamed is not None and not _try_probe(state, blamed, now_ms):
         return Error(messages.Refusal(messages.Reason.CRASHES_TARGETS))
     service = route.pick_service(state.rng.random())
     state.retry_budget.record_request(service, now_ms)
     deadline = deadlines.Deadline(incoming.arrived_ms + budget_ms)
-    return Ok(Admitted(route, account, service, deadline, fingerprint))
+    return Ok(Admitted(route, account, service, deadline, traits, blamed))
 
 
 def not_run_refusal(
@@ -96,11 +98,20 @@
     return messages.Refusal(reason, retry_after_ms=int(retry_after_ms * jitter_factor))
 
 
-def _fingerprint(incoming: IncomingRequest, account: routing.RoutedAccount | None) -> bytes:
+def _try_probe(state: states.GatewayState, blamed: crash_attribution.Trait, now_ms: int) -> bool:
+    live_hosts = [state.hosts.local.address, *state.hosts.alive(now_ms)]
+    return state.crashes.try_probe(blamed, live_hosts, now_ms)
+
+
+def _traits(
+    incoming: IncomingRequest, account: routing.RoutedAccount | None
+) -> crash_attribution.RequestTraits:
     head = incoming.head
     name = account.name if account is not None else ""
     digest = xxhash.xxh3_128()
     digest.update(f"{name}\0{head.host}\0".encode())
     digest.update(head.raw_target)
     digest.update(incoming.body or b"")
-    return digest.digest()
+    # The last part of a prompt belongs to this request alone.
+    parts = head.prompt.parts[:-1] if head.prompt is not None else ()
+    return crash_attribution.RequestTraits.of(digest.digest(), [part.part_id for part in parts])
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -8,6 +8,7 @@
 import attrs
 from expression import Result
 
+from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import targets
 from sesamehold.request import deadline as deadlines
@@ -59,7 +60,8 @@
     _account: routing.RoutedAccount | None = None
     _service: str = ""
     _deadline: deadlines.Deadline = attrs.field(init=False)
-    _fingerprint: bytes = b""
+    _traits: crash_attribution.RequestTraits = attrs.field(init=False)
+    _probed_trait: crash_attribution.Trait | None = None
     _search: target_search.TargetSearch = attrs.field(init=False)
     _results: ports.StageResults | None = None
     _has_stages: bool = False
@@ -108,7 +110,8 @@
         self._account = admitted.account
         self._service = admitted.service
         self._deadline = admitted.deadline
-        self._fingerprint = admitted.fingerprint
+        self._traits = admitted.traits
+        self._probed_trait = admitted.probed_trait
         self._attempts = attempts.Attempts(admitted.route.repeatable, admitted.route.attempts)
         self._splitter.last_id = self._incoming.head.last_event_id
         self._search = target_search.TargetSearch(
@@ -122,6 +125,9 @@
             return
         while True:
             target = await self._search.find(self._results)
+            if self._blamed_trait() is not None:
+                await self._fail_as_crashing()
+                return
             if target is None:
                 await self._fail(messages.Reason.NO_TARGET)
                 return
@@ -263,7 +269,6 @@
     ) -> None:
         state = self._services.state
         now_ms = self._now_ms()
-        state.suspects.record_success(self._fingerprint, "", now_ms)
         if result is attempts.AttemptResult.ANSWERED:
             return
         self._log(
@@ -291,6 +296,8 @@
                 await self._start_answer(answer.head)
                 await self._sink.send_chunk(b"".join(chunks))
         self._record_success(target, started_ms)
+        state = self._services.state
+        state.crashes.record_completion(self._traits, self._now_ms())
         if self._answer_started:
             await self._finish_answer()
         else:
@@ -331,6 +338,7 @@
             await self._sink.send_chunk(events)
         if self._splitter.has_partial_event or not self._answer_started:
             raise ports.BrokenAnswerError("the stream ended within an event")
+        self._services.state.crashes.record_completion(self._traits, self._now_ms())
         await self._finish_answer()
         return None
 
@@ -438,7 +446,7 @@
             fallback = attempts.NextStep.PASS_ANSWER
         if self._deadline.remaining_ms(now_ms) < MIN_REMAINING_MS:
             return fallback
-        if state.suspects.crashes(self._fingerprint, now_ms) >= admission.MAX_CRASHES:
+        if self._blamed_trait() is not None:
             return fallback
         if result is attempts.AttemptResult.NOT_SENT:
             return step
@@ -461,6 +469,14 @@
             return
         await self._refuse(admission.not_run_refusal(self._services.state, reason, retry_after_ms))
 
+    async def _fail_as_crashing(self) -> None:
+        """Ends a request that would crash its next target; a retry would fare no better."""
+        reason = messages.Reason.CRASHES_TARGETS
+        if self._answer_started or self._attempts.may_have_run:
+            await self._fail(reason)
+        else:
+            await self._refuse(messages.Refusal(reason))
+
     async def _refuse(self, refusal: messages.Refusal) -> None:
         self._outcome = f"refused-{refusal.reason.value}"
         self._log(
@@ -487,7 +503,6 @@
         self._answer_ms = now_ms - started_ms
         state.ranking.record_latency(target, self._answer_ms)
         state.route_latency.record(self._route.name, self._answer_ms)
-        state.suspects.record_success(self._fingerprint, "", now_ms)
         seconds = (now_ms - started_ms) / _MS_PER_S
         state.metrics.attempt_seconds.labels(self._service).observe(seconds)
         state.metrics.attempts.labels(self._service, "answered").inc()
@@ -495,18 +510,25 @@
     def _record_crash(self, target: targets.Target, started_ms: int) -> None:
         if self._splitter.event_count:
             return
-        state = self._services.state
-        now_ms = self._now_ms()
-        state.suspects.record_crash(self._fingerprint, "", started_ms, now_ms)
-        prompt = self._incoming.head.prompt
+        # A further attempt would crash a further target if the probe has failed.
+        self._probed_trait = None
+        crashes = self._services.state.crashes
+        crashes.record_crash(self._traits, target.incarnation, started_ms, self._now_ms())
         self._log(
             "request.suspected",
             target=target.incarnation,
-            fingerprint=self._fingerprint.hex()[:16],
-            parts=None if prompt is None else [part.part_id for part in prompt.shared_parts],
-            crashes=state.suspects.crashes(self._fingerprint, now_ms),
+            fingerprint=self._traits.request.digest.hex(),
+            crashes=crashes.crash_count(self._traits.request),
+            parts=[part.digest.hex() for part in self._traits.parts] or None,
+            part_crashes=[crashes.crash_count(part) for part in self._traits.parts] or None,
+            blamed=blamed.digest.hex() if (blamed := self._blamed_trait()) is not None else None,
         )
 
+    def _blamed_trait(self) -> crash_attribution.Trait | None:
+        """Returns the trait for which the request must not be sent, unless it probes it."""
+        blamed = self._services.state.crashes.blamed_trait(self._traits, self._now_ms())
+        return None if blamed == self._probed_trait else blamed
+
     def _record_outcome(self) -> None:
         state = self._services.state
         duration_ms = self._now_ms() - self._incoming.arrived_ms
