Decode and log the rate that a target states in its answers

Callers and operators saw nothing of it: no log line told that a target had stated a limit, so whether hosts ignore the statement or keep it each for itself could not be told apart.

Answers are decoded once, in platform/; the pool of target connections passes each head to the process state, which keeps the statement by incarnation and logs target.restricted when it changes. Malformed statements get a line and change nothing. No decision uses it yet.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator
 import socket
 from typing import Any
+from typing import Protocol
 
 import aiohttp
 from aiohttp import client_proto
@@ -165,12 +166,20 @@
         )
 
 
+class AnswerObserver(Protocol):
+    """Is told of each answer head that belongs to a request."""
+
+    def on_answer(self, target: targets.Target, head: messages.AnswerHead, sent_ms: int) -> None:
+        """Handles the head of the answer to a request that was sent at a monotonic time."""
+
+
 @attrs.define(eq=False)
 class TargetPool:
     """Idle keep-alive connections by target address."""
 
     _codec: ports.RequestCodec
     _clock: clocks.Clock
+    _observer: AnswerObserver
     opened_count: int = 0
     _idle: dict[str, list[_PooledConnection]] = attrs.field(factory=dict)
 
@@ -203,9 +212,12 @@
             max_line_size=HEADER_LIMIT_BYTES,
             max_field_size=HEADER_LIMIT_BYTES,
         )
+        sent_ms = self._clock.now_ms()
         transport.write(request)
         try:
-            return await self._read_head(target, connection, request_id, is_reused=is_reused)
+            return await self._read_head(
+                target, connection, request_id, sent_ms, is_reused=is_reused
+            )
         except BaseException:
             protocol.abort()
             raise
@@ -280,6 +292,7 @@
         target: targets.Target,
         connection: _PooledConnection,
         request_id: str | None,
+        sent_ms: int,
         *,
         is_reused: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
@@ -293,6 +306,7 @@
                 head = self._codec.decode_answer_head(message.code, tuple(message.raw_headers))
                 protocol.body = payload
                 if _is_answer_to(request_id, head, is_reused=is_reused):
+                    self._observer.on_answer(target, head, sent_ms)
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
                     delimited_by_close = head.content_length is None and not message.chunked
                     return Ok(
--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 import json
+import re
 
 import attrs
 from expression import Error
@@ -64,6 +65,9 @@
 _STATUS_DEADLINE_EXCEEDED = 504
 _STATUS_WRONG_TARGET = 421
 
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+_NO_STATEMENT = messages.TargetStatement()
+
 
 @attrs.frozen
 class PlatformHeaders:
@@ -118,6 +122,7 @@
             load=_parse_load(values.get(names.SERVER_LOAD)),
             idle_ms=_parse_idle_ms(values.get(b"keep-alive")),
             content_length=int(length) if length.isdigit() else None,
+            statement=_parse_statement(headers),
         )
 
     def encode_refusal(
@@ -208,6 +213,21 @@
     return messages.LoadSample(running, waiting, slots)
 
 
+def _parse_statement(headers: messages.HeaderPairs) -> messages.TargetStatement:
+    stated = {value.strip() for name, value in headers if name.lower() == names.SERVER_LIMIT}
+    if not stated:
+        return _NO_STATEMENT
+    rate = _parse_decimal(stated.pop()) if len(stated) == 1 else None
+    if rate is None:
+        return messages.TargetStatement(malformed=("rate limit",))
+    return messages.TargetStatement(max_rate_per_s=rate)
+
+
+def _parse_decimal(value: bytes) -> float | None:
+    """Returns a number of at least 0, None for anything else."""
+    return float(value) if _DECIMAL.fullmatch(value) else None
+
+
 def _parse_idle_ms(header: bytes | None) -> int | None:
     if header is None:
         return None
--- a/src/sesamehold/platform/names.py
+++ b/src/sesamehold/platform/names.py
@@ -25,6 +25,7 @@
 KV_FETCH = b"kv-fetch"
 SERVER_SEAL = b"server-seal"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 NOT_RUN = b"not-run"
 AUTHORIZATION = b"authorization"
 
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -90,7 +90,7 @@
         clock = clocks.SystemClock()
         rng = random.Random(f"{config.peer_address}:{clock.wall_ms()}")
         state = states.GatewayState.from_config(config, clock, rng)
-        client = target_pool.TargetPool(adapter.requests, clock)
+        client = target_pool.TargetPool(adapter.requests, clock, state)
         stages = stage_runner.LocalStageRunner(state, client, adapter.stages)
         watcher = directory_watcher.DirectoryWatcher(state, adapter.source)
         return cls(
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -16,7 +16,9 @@
 from sesamehold.process.gateway import route_latency
 from sesamehold.process.gateway import settings
 from sesamehold.process.gateway import target_ranking
+from sesamehold.process.gateway import target_restrictions
 from sesamehold.process.gateway import targets
+from sesamehold.request.gateway import messages
 from sesamehold.version import routing
 
 
@@ -35,6 +37,7 @@
         ranking: Ranking of targets by this host's observations.
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
+        restrictions: What targets said about themselves in their answers.
         crashes: Attribution of crashes of targets to requests and prompt parts.
         route_latency: Latency estimate for each route.
         table: Current routing table, None until a configuration has been read.
@@ -54,6 +57,9 @@
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
     crashes: crash_attribution.CrashAttribution
+    restrictions: target_restrictions.TargetRestrictions = attrs.field(
+        factory=target_restrictions.TargetRestrictions
+    )
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     table: routing.RoutingTable | None = None
     stopping: bool = False
@@ -108,6 +114,23 @@
         known = self.hosts.known_addresses(now_ms)
         return self.cold_rate_limit.try_acquire(target, service.cold_rate_per_s, known, now_ms)
 
+    def on_answer(self, target: targets.Target, head: messages.AnswerHead, sent_ms: int) -> None:
+        """Records what a target says about itself in the head of an answer."""
+        now_ms = self.clock.now_ms()
+        if head.statement.malformed:
+            self.log.write(
+                "target.statement-malformed",
+                target=target.incarnation,
+                statements=head.statement.malformed,
+            )
+        if self.restrictions.record_answer(target, head, sent_ms, now_ms):
+            self.log.write(
+                "target.restricted",
+                target=target.incarnation,
+                service=target.service,
+                max_rate_per_s=self.restrictions.max_rate_per_s(target, now_ms),
+            )
+
     def reload(self, config: settings.GatewaySettings) -> None:
         """Applies changed settings; listening addresses stay as they are."""
         self.config = config
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -121,6 +121,20 @@
     slots: int
 
 
+@attrs.frozen
+class TargetStatement:
+    """What a target says about itself in an answer.
+
+    Attributes:
+        max_rate_per_s: Requests per second that it takes from all hosts together, None if not
+            stated.
+        malformed: Names of the statements that cannot be decoded.
+    """
+
+    max_rate_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class AnswerHead:
     """Decoded status and headers of a target's answer.
@@ -136,6 +150,7 @@
         load: Load reported by the target, None if not stated.
         idle_ms: Keep-alive timeout of the connection, None if not stated.
         content_length: Length of the body, None if it is not stated.
+        statement: What the target says about itself.
     """
 
     status: int
@@ -148,6 +163,7 @@
     load: LoadSample | None = None
     idle_ms: int | None = None
     content_length: int | None = None
+    statement: TargetStatement = TargetStatement()
 
     @property
     def succeeded(self) -> bool:
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -135,6 +135,7 @@
         "process/settings.py",
         "process/gateway/cold_rate_limit.py",
         "process/gateway/crash_attribution.py",
+        "process/gateway/target_restrictions.py",
         "process/gateway/directory_events.py",
         "process/gateway/hosts.py",
         "process/gateway/retry_budget.py",
