Forward the events of a resumed stream only if they go on after the last one

What callers could see: in a stream that had begun and broke off, the text of another target's answer if it was signed and had status 200, events that they had already received, or an end that made a part look complete.

Cause: after a break, whatever the next target sent with a signed 200 was taken for the rest of the stream. The class of the fault: a check that holds for first attempts only (an answer without an event was broken only if nothing had been forwarded).

Change: in a resumed stream every event but a comment needs a higher id than the one before it, and an answer without length or chunks needs an event.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -137,13 +137,18 @@
 
 @attrs.define(eq=False)
 class PooledResponse:
-    """Response of a target, read from a pooled connection."""
+    """Response of a target, read from a pooled connection.
+
+    Attributes:
+        delimited_by_close: Whether only the end of the connection marks the end of the body.
+        head: Decoded head.
+    """
 
     _pool: TargetPool
     _address: str
     _connection: _PooledConnection
     _payload: streams.StreamReader
-    _delimited_by_close: bool
+    delimited_by_close: bool
     head: messages.AnswerHead
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -156,7 +161,7 @@
                 yield data
         except _CONNECTION_ERRORS as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
-        if self._delimited_by_close and self._connection.protocol.was_reset:
+        if self.delimited_by_close and self._connection.protocol.was_reset:
             raise ports.BrokenAnswerError("connection reset before the end of the response")
 
     def release(self) -> None:
--- a/src/sesamehold/request/gateway/event_stream.py
+++ b/src/sesamehold/request/gateway/event_stream.py
@@ -17,10 +17,18 @@
 _ID_FIELD = re.compile(rb"(?:^|\r\n|\n|\r)id:[ ]?(\d+)[ ]*(?=\r|\n)")
 
 
-class EventTooLargeError(ValueError):
+class MalformedStreamError(ValueError):
+    """A stream cannot be forwarded."""
+
+
+class EventTooLargeError(MalformedStreamError):
     """An event exceeds `MAX_EVENT_BYTES`."""
 
 
+class NotAContinuationError(MalformedStreamError):
+    """A resumed stream does not go on after the last event that was forwarded."""
+
+
 @attrs.define
 class EventSplitter:
     r"""Incremental parser of one event stream.
@@ -39,6 +47,7 @@
     last_id: int | None = None
     event_count: int = 0
     _partial: bytes = b""
+    _is_resumed: bool = False
 
     @property
     def has_partial_event(self) -> bool:
@@ -50,10 +59,15 @@
 
         Raises:
             EventTooLargeError: An event exceeds `MAX_EVENT_BYTES`.
+            NotAContinuationError: In a resumed stream, an event has no id or not a higher one than
+                the event before it.
         """
         buffer = self._partial + data if self._partial else data
         end = 0
+        last_id = self.last_id
         for match in _EVENT_END.finditer(buffer):
+            if self._is_resumed:
+                last_id = _continued_id(buffer[end : match.end()], last_id)
             end = match.end()
             self.event_count += 1
         complete, self._partial = buffer[:end], buffer[end:]
@@ -63,6 +77,24 @@
             self.last_id = int(match.group(1))
         return complete
 
-    def discard_partial_event(self) -> None:
-        """Discards a buffered incomplete event, such as that of an aborted attempt."""
+    def start_attempt(self, *, is_resumed: bool) -> None:
+        """Prepares for the stream of another target; discards an incomplete event.
+
+        Args:
+            is_resumed: Whether the stream goes on after events that were forwarded before.
+        """
         self._partial = b""
+        self._is_resumed = is_resumed
+
+
+def _continued_id(event: bytes, last_id: int | None) -> int | None:
+    """Returns the id of an event of a resumed stream; a comment leaves the last id as it is."""
+    match = _ID_FIELD.search(event)
+    if match is None:
+        if all(line.startswith(b":") for line in event.splitlines() if line):
+            return last_id
+        raise NotAContinuationError("an event of a resumed stream has no id")
+    event_id = int(match.group(1))
+    if last_id is not None and event_id <= last_id:
+        raise NotAContinuationError(f"a resumed stream has event {event_id} after {last_id}")
+    return event_id
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -60,6 +60,10 @@
     def head(self) -> messages.AnswerHead:
         """Returns the decoded head."""
 
+    @property
+    def delimited_by_close(self) -> bool:
+        """Returns whether only the end of the connection marks the end of the body."""
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives; raises `BrokenAnswerError` if it is truncated."""
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -314,7 +314,7 @@
         self, target: targets.Target, answer: ports.TargetAnswer, started_ms: int
     ) -> attempts.AttemptResult | None:
         first = True
-        self._splitter.discard_partial_event()
+        self._splitter.start_attempt(is_resumed=self._answer_started)
         chunks = answer.chunks()
         progress_ms = self._now_ms()
         may_resume = self._may_resume()
@@ -326,7 +326,7 @@
             known_id = self._splitter.last_id
             try:
                 events = self._splitter.feed(chunk)
-            except event_stream.EventTooLargeError as error:
+            except event_stream.MalformedStreamError as error:
                 raise ports.BrokenAnswerError(str(error)) from error
             if self._splitter.last_id != known_id:
                 progress_ms = self._now_ms()
@@ -341,6 +341,8 @@
             await self._sink.send_chunk(events)
         if self._splitter.has_partial_event or not self._answer_started:
             raise ports.BrokenAnswerError("the stream ended within an event")
+        if first and answer.delimited_by_close:
+            raise ports.BrokenAnswerError("the resumed stream ended without an event")
         self._services.state.crashes.record_completion(self._traits, self._now_ms())
         await self._finish_answer()
         return None
--- a/testing/request/gateway/test_attempts.py
+++ b/testing/request/gateway/test_attempts.py
@@ -102,7 +102,7 @@
     """Guards against an event composed of bytes from two attempts."""
     splitter = event_stream.EventSplitter()
     splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-    splitter.discard_partial_event()
+    splitter.start_attempt(is_resumed=False)
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
 
 
