Leave targets alone that say that they leave, or for how long they want nothing

What callers saw: nothing yet; a target that leaves, or that asks a host to wait, got requests until the store said so.

Cause: the same as of the rates: statements in answers had no way to the decisions. They join the one place that the rates use, so first and second attempts, resumed streams and stage calls keep to all three.

Leaving outlasts answers without it; a wait is never shortened. If all targets leave or wait, requests are refused at once. Results are not freed at a target that waits.

--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 import json
+import math
 import re
 
 import attrs
@@ -67,6 +68,15 @@
 
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 _NO_STATEMENT = messages.TargetStatement()
+# Headers in which a worker says something about itself, with their names in the log.
+_STATEMENTS = {
+    names.SERVER_LIMIT: "rate limit",
+    names.SERVER_LEAVING: "leaving",
+    names.RETRY_AFTER: "wait",
+}
+_LEAVING_VALUES = {b"1": True, b"0": False}
+# A longer wait than a day is taken for a mistake.
+_MAX_WAIT_S = 86_400.0
 
 
 @attrs.frozen
@@ -122,7 +132,7 @@
             load=_parse_load(values.get(names.SERVER_LOAD)),
             idle_ms=_parse_idle_ms(values.get(b"keep-alive")),
             content_length=int(length) if length.isdigit() else None,
-            statement=_parse_statement(headers),
+            statement=_parse_statement(status, headers),
         )
 
     def encode_refusal(
@@ -213,19 +223,38 @@
     return messages.LoadSample(running, waiting, slots)
 
 
-def _parse_statement(headers: messages.HeaderPairs) -> messages.TargetStatement:
-    stated = {value.strip() for name, value in headers if name.lower() == names.SERVER_LIMIT}
+def _parse_statement(status: int, headers: messages.HeaderPairs) -> messages.TargetStatement:
+    stated: dict[bytes, set[bytes]] = {}
+    for name, value in headers:
+        lower = name.lower()
+        # Only a rejection tells this host to stay away; the header has other uses elsewhere.
+        if lower in _STATEMENTS and (lower != names.RETRY_AFTER or status == _STATUS_NOT_RUN):
+            stated.setdefault(lower, set()).add(value.strip())
     if not stated:
         return _NO_STATEMENT
-    rate = _parse_decimal(stated.pop()) if len(stated) == 1 else None
-    if rate is None:
-        return messages.TargetStatement(malformed=("rate limit",))
-    return messages.TargetStatement(max_rate_per_s=rate)
+    # A statement that is made twice with different values is malformed.
+    single = {name: values.pop() for name, values in stated.items() if len(values) == 1}
+    rate = _parse_decimal(single.get(names.SERVER_LIMIT))
+    wait_s = _parse_decimal(single.get(names.RETRY_AFTER))
+    if wait_s is not None and wait_s > _MAX_WAIT_S:
+        wait_s = None
+    leaving = _LEAVING_VALUES.get(single.get(names.SERVER_LEAVING, b""))
+    decoded = {
+        names.SERVER_LIMIT: rate,
+        names.SERVER_LEAVING: leaving,
+        names.RETRY_AFTER: wait_s,
+    }
+    return messages.TargetStatement(
+        max_rate_per_s=rate,
+        leaving=leaving,
+        wait_ms=None if wait_s is None else math.ceil(wait_s * _MS_PER_S),
+        malformed=tuple(_STATEMENTS[name] for name in stated if decoded[name] is None),
+    )
 
 
-def _parse_decimal(value: bytes) -> float | None:
+def _parse_decimal(value: bytes | None) -> float | None:
     """Returns a number of at least 0, None for anything else."""
-    return float(value) if _DECIMAL.fullmatch(value) else None
+    return float(value) if value is not None and _DECIMAL.fullmatch(value) else None
 
 
 def _parse_idle_ms(header: bytes | None) -> int | None:
--- a/src/sesamehold/platform/names.py
+++ b/src/sesamehold/platform/names.py
@@ -26,6 +26,8 @@
 SERVER_SEAL = b"server-seal"
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 NOT_RUN = b"not-run"
 AUTHORIZATION = b"authorization"
 
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -22,6 +22,7 @@
     requests: prometheus_client.Counter = attrs.field(init=False)
     request_seconds: prometheus_client.Histogram = attrs.field(init=False)
     attempts: prometheus_client.Counter = attrs.field(init=False)
+    held_back: prometheus_client.Counter = attrs.field(init=False)
     attempt_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
@@ -53,6 +54,12 @@
             ["service", "result"],
             registry=registry,
         )
+        self.held_back = counter(
+            "sesamehold_held_back_sends_total",
+            "Sends that were not made because of what the target stated about itself.",
+            ["service", "restriction"],
+            registry=registry,
+        )
         self.attempt_seconds = histogram(
             "sesamehold_attempt_answer_seconds",
             "Time from the send to the answer or the first event.",
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -256,6 +256,9 @@
     def _free(self) -> None:
         self._free_timer = None
         for target, handles in self._scheduler.take_freed():
+            if not self._state.may_contact(target):
+                self._log_free_failure(target, "target-waits")
+                continue
             self._start_task(self._free_at(target, handles))
 
     async def _free_at(self, target: targets.Target, handles: list[str]) -> None:
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -120,6 +120,11 @@
         now_ms = self.clock.now_ms()
         return self.restrictions.next_send_ms(target, now_ms) == now_ms
 
+    def may_contact(self, target: targets.Target) -> bool:
+        """Returns whether a target takes calls that are no requests, such as freeing results."""
+        waiting = target_restrictions.Restriction.WAITING
+        return self.restrictions.restriction(target, self.clock.now_ms()) is not waiting
+
     def record_stage_call(self, target: targets.Target) -> None:
         """Counts a stage call against the rate that its target states.
 
@@ -151,6 +156,8 @@
                 target=target.incarnation,
                 service=target.service,
                 max_rate_per_s=self.restrictions.max_rate_per_s(target, now_ms),
+                leaving=head.statement.leaving,
+                wait_ms=head.statement.wait_ms,
             )
 
     def reload(self, config: settings.GatewaySettings) -> None:
--- a/src/sesamehold/process/gateway/target_restrictions.py
+++ b/src/sesamehold/process/gateway/target_restrictions.py
@@ -1,17 +1,20 @@
 """Restrictions that targets state about themselves in their answers, by incarnation.
 
-A target in need states the rate of requests that it takes from all hosts together. A few hosts get
-an equal share of it each. If there are more, all of them may send, but each only with a probability
-that follows from its own demand: a host that would send n requests within a time sends the share
-for one host. The sum over all hosts thus stays below the rate at any distribution of the demand.
-
-Hosts tell each other what targets stated, so that those which get no answers any more learn of the
-end of a limit, and a host that starts need not be told by each target.
+A target that is leaving gets nothing more from this host, and one that turns a request away for a
+time gets nothing until then. A target in need states the rate of requests that it takes from all
+hosts together. A few hosts get an equal share of it each. If there are more, all of them may send,
+but each only with a probability that follows from its own demand: a host that would send n requests
+within a time sends the share for one host. The sum over all hosts thus stays below the rate at any
+distribution of the demand.
+
+Hosts tell each other what rates targets stated, so that those which get no answers any more learn
+of the end of a limit, and a host that starts need not be told by each target.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+import enum
 import heapq
 import random
 
@@ -38,9 +41,17 @@
 _MS_PER_S = 1_000
 
 
+class Restriction(enum.Enum):
+    """Why a target must not be sent a request now."""
+
+    LEAVING = "leaving"
+    WAITING = "waiting"
+    RATE = "rate"
+
+
 @attrs.frozen
 class StatementReport:
-    """What a target stated, as hosts exchange it.
+    """What a target stated about its rate, as hosts exchange it.
 
     Attributes:
         target_id: Identity of the target.
@@ -63,6 +74,8 @@
     max_rate_per_s: float | None = None
     stated_ms: int | None = None
     next_send_ms: int = 0
+    leaving_since_ms: int | None = None
+    waits_until_ms: int = 0
     # Requests that were sent, or that a decision about the stated rate held back.
     demand: sliding_window.SlidingWindowCounter = attrs.field(
         factory=lambda: sliding_window.SlidingWindowCounter(DEMAND_WINDOW_MS)
@@ -96,6 +109,19 @@
         if head.wrong_target:
             # Another target has taken over the address.
             return False
+        known = self._for(target)
+        changes = [
+            self._record_rate(target, head, sent_ms, now_ms),
+            _record_leaving(known, head.statement.leaving, sent_ms, now_ms),
+        ]
+        if head.statement.wait_ms is not None:
+            changes.append(known.waits_until_ms <= now_ms)
+            known.waits_until_ms = max(known.waits_until_ms, now_ms + head.statement.wait_ms)
+        return any(changes)
+
+    def _record_rate(
+        self, target: targets.Target, head: messages.AnswerHead, sent_ms: int, now_ms: int
+    ) -> bool:
         rate = head.statement.max_rate_per_s
         known = self._for(target)
         previous = self.max_rate_per_s(target, now_ms)
@@ -118,10 +144,23 @@
 
     def next_send_ms(self, target: targets.Target, now_ms: int) -> int | None:
         """Returns the monotonic time from which this host may send to a target, None for never."""
+        known = self._for(target)
+        if known.leaving_since_ms is not None:
+            return None
+        earliest_ms = max(now_ms, known.waits_until_ms)
         rate = self.max_rate_per_s(target, now_ms)
         if rate is None:
-            return now_ms
-        return None if rate <= 0 else max(now_ms, self._for(target).next_send_ms)
+            return earliest_ms
+        return None if rate <= 0 else max(earliest_ms, known.next_send_ms)
+
+    def restriction(self, target: targets.Target, now_ms: int) -> Restriction | None:
+        """Returns why a target must not be sent a request now, None if it may be."""
+        known = self._for(target)
+        if known.leaving_since_ms is not None:
+            return Restriction.LEAVING
+        if known.waits_until_ms > now_ms:
+            return Restriction.WAITING
+        return Restriction.RATE if self.next_send_ms(target, now_ms) != now_ms else None
 
     def try_acquire(self, target: targets.Target, host_count: int, now_ms: int) -> bool:
         """Consumes one request of this host's share; returns False if it must not be sent now.
@@ -179,3 +218,15 @@
         if known is None or known.born_ms != target.born_ms:
             known = self._by_id[target.target_id] = _Statements(target.born_ms)
         return known
+
+
+def _record_leaving(known: _Statements, is_leaving: bool | None, sent_ms: int, now_ms: int) -> bool:
+    """Records whether a target leaves; only a later statement, not a missing one, revokes it."""
+    if is_leaving:
+        changed = known.leaving_since_ms is None
+        known.leaving_since_ms = now_ms if changed else known.leaving_since_ms
+        return changed
+    if is_leaving is None or known.leaving_since_ms is None or sent_ms <= known.leaving_since_ms:
+        return False
+    known.leaving_since_ms = None
+    return True
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -128,10 +128,14 @@
     Attributes:
         max_rate_per_s: Requests per second that it takes from all hosts together, None if not
             stated.
+        leaving: Whether it is shutting down, None if not stated.
+        wait_ms: Time for which it wants nothing from this host, None if not stated.
         malformed: Names of the statements that cannot be decoded.
     """
 
     max_rate_per_s: float | None = None
+    leaving: bool | None = None
+    wait_ms: int | None = None
     malformed: tuple[str, ...] = ()
 
 
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -88,8 +88,14 @@
         return ranked[0].zone if ranked else ""
 
     def _next_send_ms(self, candidates: list[targets.Target], now_ms: int) -> int | None:
-        times_ms = [self._state.next_send_ms(target, now_ms) for target in candidates]
-        return min((time_ms for time_ms in times_ms if time_ms is not None), default=None)
+        earliest_ms = None
+        for target in candidates:
+            sendable_ms = self._state.next_send_ms(target, now_ms)
+            if sendable_ms == now_ms:
+                return now_ms
+            if sendable_ms is not None and (earliest_ms is None or sendable_ms < earliest_ms):
+                earliest_ms = sendable_ms
+        return earliest_ms
 
     def _rank(
         self, candidates: list[targets.Target], results: ports.StageResults | None
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -190,3 +190,41 @@
     _, headers_out, _ = CODEC.encode_refusal(refusal, "9c")
     assert headers_out["Retry-After"] == "1.250"
     assert headers_out["Request-Id"] == "9c"
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "expected"),
+    [
+        pytest.param(200, [("Server-Limit", "1.5")], {"max_rate_per_s": 1.5}, id="rate"),
+        pytest.param(200, [("Server-Limit", "0")], {"max_rate_per_s": 0.0}, id="no rate at all"),
+        pytest.param(200, [("server-limit", "2")] * 2, {"max_rate_per_s": 2.0}, id="rate twice"),
+        pytest.param(200, [("Server-Leaving", "1")], {"leaving": True}, id="leaving"),
+        pytest.param(200, [("Server-Leaving", "0")], {"leaving": False}, id="not leaving"),
+        pytest.param(503, [("Retry-After", "0.25")], {"wait_ms": 250}, id="wait"),
+        pytest.param(200, [("Retry-After", "3")], {}, id="wait of a success"),
+        *(
+            pytest.param(200, [("Server-Limit", text)], {"malformed": ("rate limit",)}, id=text)
+            for text in ("-1", "nan", "inf", "1e3", "many", "9" * 40, "1,2")
+        ),
+        *(
+            pytest.param(503, [("Retry-After", text)], {"malformed": ("wait",)}, id=f"wait {text}")
+            for text in ("-1", "soon", "86401", "Fri, 04 Dec 2026 00:00:00 GMT")
+        ),
+        pytest.param(
+            200, [("Server-Leaving", "yes")], {"malformed": ("leaving",)}, id="not a flag"
+        ),
+        pytest.param(
+            503,
+            [("Retry-After", "1"), ("Retry-After", "2"), ("Server-Leaving", "1")],
+            {"leaving": True, "malformed": ("wait",)},
+            id="two waits",
+        ),
+    ],
+)
+def test_statements_of_a_worker(
+    status: int, fields: list[tuple[str, str]], expected: dict[str, object]
+) -> None:
+    """Guards against a bad value that restricts a worker, or that hides the other statements."""
+    pairs = tuple((name.encode(), value.encode()) for name, value in fields)
+    head = CODEC.decode_answer_head(status, pairs)
+    assert head.statement == messages.TargetStatement(**expected)
--- a/testing/platform/test_stated_restrictions.py
+++ b/testing/platform/test_stated_restrictions.py
@@ -13,6 +13,7 @@
 # A target may get half as much again as it takes, and five requests more.
 TOLERANCE = 1.5
 EXTRA_REQUESTS = 5
+EVENT = b"id: 1\ndata: e1\n\n"
 
 
 class LimitedService:
@@ -141,3 +142,49 @@
             assert len(times_s) <= TOLERANCE * RATE_PER_S * duration_s + EXTRA_REQUESTS
 
     stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "has_other", "is_restricted"),
+    [
+        pytest.param(200, {"Server-Leaving": "1"}, True, True, id="leaving"),
+        pytest.param(404, {"Server-Leaving": "1"}, True, True, id="leaving-with-an-error"),
+        pytest.param(200, {"Server-Leaving": "1"}, False, True, id="all-leaving"),
+        pytest.param(503, {"Retry-After": "60", "Not-Run": "1"}, False, True, id="all-waiting"),
+        pytest.param(200, {"Server-Leaving": "yes"}, True, False, id="malformed-leaving"),
+        pytest.param(503, {"Retry-After": "x", "Not-Run": "1"}, False, False, id="malformed-wait"),
+    ],
+)
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "streaming"])
+def test_target_that_leaves_or_waits_gets_nothing_more(
+    kind: str, status: int, fields: dict[str, str], *, has_other: bool, is_restricted: bool
+) -> None:
+    """Guards against sends to a target that is still registered and has asked for none."""
+
+    async def main() -> None:
+        async def restricted(exchange: stand_in.Exchange) -> None:
+            head = {"Request-Id": exchange.request_id, "Server-Seal": "s", **fields}
+            exchange.write_head(status, {**head, "Content-Length": str(len(EVENT))})
+            exchange.writer.write(EVENT)
+
+        async def other(exchange: stand_in.Exchange) -> None:
+            await asyncio.sleep(0.08)
+            exchange.send(200, EVENT)
+
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", kind)]
+        worker = site.add_worker("i-restricted", "svc", restricted)
+        if has_other:
+            site.add_worker("i-0", "svc", other)
+        site.publish()
+        async with site:
+            await site.start_gateway()
+            statuses = [
+                (await site.send(stand_in.request("/svc/x", f"r{index}")))[9:12]
+                for index in range(20)
+            ]
+            assert (len(worker.exchanges) == 1) == is_restricted
+            if is_restricted:
+                assert statuses[-1] == (b"200" if has_other else b"503")
+
+    stand_in.run(main)
--- a/testing/process/gateway/test_target_restrictions.py
+++ b/testing/process/gateway/test_target_restrictions.py
@@ -16,6 +16,7 @@
 
 TARGET = targets.Target("i-1", 1, "svc", "10.1.0.1:80", "z1")
 RESTARTED = targets.Target("i-1", 2, "svc", "10.1.0.1:80", "z1")
+R = target_restrictions.Restriction
 WINDOW_MS = 4_000
 NOTICE_MS = 3_000
 
@@ -62,6 +63,52 @@
     assert table.max_rate_per_s(RESTARTED, 200) is None
 
 
+def _statement(**statement: object) -> messages.AnswerHead:
+    return messages.AnswerHead(503, (), statement=messages.TargetStatement(**statement))
+
+
+@pytest.mark.parametrize(
+    ("answers", "now_ms", "restriction"),
+    [
+        pytest.param([({"leaving": True}, 0, 100)], 99_000, R.LEAVING, id="leaves"),
+        pytest.param([({"leaving": True}, 0, 100), ({}, 110, 150)], 200, R.LEAVING, id="silent"),
+        pytest.param(
+            [({"leaving": True}, 0, 100), ({"leaving": False}, 110, 150)], 200, None, id="stays"
+        ),
+        pytest.param(
+            [({"leaving": True}, 0, 100), ({"leaving": False}, 50, 150)],
+            200,
+            R.LEAVING,
+            id="late answer from before",
+        ),
+        pytest.param([({"wait_ms": 500}, 0, 100)], 599, R.WAITING, id="waits"),
+        pytest.param([({"wait_ms": 500}, 0, 100)], 600, None, id="waited"),
+        pytest.param([({"wait_ms": 500}, 0, 100), ({}, 110, 150)], 599, R.WAITING, id="answers"),
+        pytest.param(
+            [({"wait_ms": 500}, 0, 100), ({"wait_ms": 10}, 110, 150)],
+            599,
+            R.WAITING,
+            id="shorter wait",
+        ),
+        pytest.param(
+            [({"wait_ms": 500, "leaving": True}, 0, 100)], 999, R.LEAVING, id="both at once"
+        ),
+    ],
+)
+def test_target_that_leaves_or_waits_is_left_alone(
+    answers: list[tuple[dict[str, object], int, int]],
+    now_ms: int,
+    restriction: target_restrictions.Restriction | None,
+) -> None:
+    """Guards against a send to a target that asked for none, and against a wait without end."""
+    table = target_restrictions.TargetRestrictions(random.Random(1))
+    for statement, sent_ms, answered_ms in answers:
+        table.record_answer(TARGET, _statement(**statement), sent_ms, answered_ms)
+    assert table.restriction(TARGET, now_ms) is restriction
+    assert table.try_acquire(TARGET, 1, now_ms) == (restriction is None)
+    assert table.restriction(RESTARTED, now_ms) is None
+
+
 @pytest.mark.parametrize(
     ("rate", "host_count", "interval_ms"),
     [
