Keep the name of a standard header out of the names of the platform

test_layout failed on the commit before: Retry-After is a standard header that other modules use too, and stood among the names that only platform/ may know. It moves beside its use; test_layout and test_headers pass.

--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -66,13 +66,14 @@
 _STATUS_DEADLINE_EXCEEDED = 504
 _STATUS_WRONG_TARGET = 421
 
+_RETRY_AFTER = b"retry-after"
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 _NO_STATEMENT = messages.TargetStatement()
 # Headers in which a worker says something about itself, with their names in the log.
 _STATEMENTS = {
     names.SERVER_LIMIT: "rate limit",
     names.SERVER_LEAVING: "leaving",
-    names.RETRY_AFTER: "wait",
+    _RETRY_AFTER: "wait",
 }
 _LEAVING_VALUES = {b"1": True, b"0": False}
 # A longer wait than a day is taken for a mistake.
@@ -228,21 +229,21 @@
     for name, value in headers:
         lower = name.lower()
         # Only a rejection tells this host to stay away; the header has other uses elsewhere.
-        if lower in _STATEMENTS and (lower != names.RETRY_AFTER or status == _STATUS_NOT_RUN):
+        if lower in _STATEMENTS and (lower != _RETRY_AFTER or status == _STATUS_NOT_RUN):
             stated.setdefault(lower, set()).add(value.strip())
     if not stated:
         return _NO_STATEMENT
     # A statement that is made twice with different values is malformed.
     single = {name: values.pop() for name, values in stated.items() if len(values) == 1}
     rate = _parse_decimal(single.get(names.SERVER_LIMIT))
-    wait_s = _parse_decimal(single.get(names.RETRY_AFTER))
+    wait_s = _parse_decimal(single.get(_RETRY_AFTER))
     if wait_s is not None and wait_s > _MAX_WAIT_S:
         wait_s = None
     leaving = _LEAVING_VALUES.get(single.get(names.SERVER_LEAVING, b""))
     decoded = {
         names.SERVER_LIMIT: rate,
         names.SERVER_LEAVING: leaving,
-        names.RETRY_AFTER: wait_s,
+        _RETRY_AFTER: wait_s,
     }
     return messages.TargetStatement(
         max_rate_per_s=rate,
--- a/src/sesamehold/platform/names.py
+++ b/src/sesamehold/platform/names.py
@@ -27,7 +27,6 @@
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
-RETRY_AFTER = b"retry-after"
 NOT_RUN = b"not-run"
 AUTHORIZATION = b"authorization"
 
