--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -111,9 +111,16 @@
         if not self.directory.may_use(target.target_id, target.born_ms):
             return False
         host_count = len(self.hosts.known_addresses(now_ms))
-        return self.restrictions.try_acquire(target, host_count, now_ms) and self._try_reserve_cold(
-            target, now_ms
-        )
+        if not self.restrictions.try_acquire(target, host_count, now_ms):
+            self.record_held_back(target)
+            return False
+        return self._try_reserve_cold(target, now_ms)
+
+    def record_held_back(self, target: targets.Target) -> None:
+        """Counts a send that is not made because of what the target stated about itself."""
+        restriction = self.restrictions.restriction(target, self.clock.now_ms())
+        if restriction is not None:
+            self.metrics.held_back.labels(target.service, restriction.value).inc()
 
     def may_call_stage(self, target: targets.Target) -> bool:
         """Returns whether the leader may send a stage call to a target now."""
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -253,7 +253,8 @@
         except ports.BrokenAnswerError as error:
             self._log("attempt.broken", target=target.target_id, fault=str(error))
             state.ranking.record_failure(target, self._now_ms())
-            self._record_crash(target, started_ms)
+            if not isinstance(error, ports.StalledAnswerError):
+                self._record_crash(target, started_ms)
             return (
                 attempts.AttemptResult.NOT_RUN if head.not_run else attempts.AttemptResult.UNKNOWN
             )
@@ -365,7 +366,7 @@
                 return await anext(chunks, None)
         except TimeoutError:
             if stall_timeout.expired():
-                raise ports.BrokenAnswerError("silent") from None
+                raise ports.StalledAnswerError("silent") from None
             raise
 
     def _stall_at_ms(self, progress_ms: int, *, first: bool) -> int:
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -63,7 +63,11 @@
             # A target may be registered at any time.
             return False
         sendable_ms = self._next_send_ms(usable, self._now_ms())
-        return sendable_ms is None or sendable_ms > time_ms
+        if sendable_ms is not None and sendable_ms <= time_ms:
+            return False
+        for target in usable:
+            self._state.record_held_back(target)
+        return True
 
     def retry_after_ms(self) -> int | None:
         """Returns the time until a restricted target has room, None if it is not known."""
