Keep what a target says across late answers of its earlier start and lapses of its entry

What callers and targets saw: a target that leaves, or that asked a host to wait, got requests again after a late answer of its earlier start under the same identity arrived, or after its entry in the store lapsed during an outage and came back.

Cause: statements were kept by the identity of the target and thrown away whenever another start of it was asked for, even by a read, and when its entry went. The class of the fault: state of an incarnation under a key that outlives it. Statements are now kept by incarnation and end by their own times; a target that leaves is left alone for an hour. Discarding with the entry is gone, and idle statements no longer pile up with each restart of a target.

--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -240,5 +240,4 @@
         self._state.directory.remove(target_id)
         self._state.ranking.forget(target_id)
         self._state.cold_rate_limit.forget(target_id)
-        self._state.restrictions.forget(target_id)
         self._state.log.write("target.withdrawn", target=target_id, revision=revision)
--- a/src/sesamehold/process/gateway/target_restrictions.py
+++ b/src/sesamehold/process/gateway/target_restrictions.py
@@ -26,6 +26,9 @@
 
 # A statement that no answer has repeated for this long no longer holds.
 STATEMENT_TTL_MS = 10_000
+# A target that leaves has ended by then. Its entry in the directory may come and go before, so the
+# statement does not end with it.
+LEAVING_RETENTION_MS = 3_600_000
 # Hosts that have a fixed share of the rate of a target, beside one for each request per second.
 # Each of them may send one request without a wait.
 MIN_SHARES = 2
@@ -70,6 +73,7 @@
 class _Statements:
     """Latest statements of one incarnation of a target."""
 
+    target_id: str
     born_ms: int
     max_rate_per_s: float | None = None
     stated_ms: int | None = None
@@ -84,13 +88,28 @@
     def is_current(self, now_ms: int) -> bool:
         return self.stated_ms is not None and now_ms - self.stated_ms < STATEMENT_TTL_MS
 
+    def is_leaving(self, now_ms: int) -> bool:
+        return (
+            self.leaving_since_ms is not None
+            and now_ms - self.leaving_since_ms < LEAVING_RETENTION_MS
+        )
+
+    def is_idle(self, now_ms: int) -> bool:
+        """Returns whether nothing is lost if these statements are discarded."""
+        return (
+            not self.is_current(now_ms)
+            and not self.is_leaving(now_ms)
+            and self.waits_until_ms <= now_ms
+            and self.demand.total(now_ms) == 0
+        )
+
 
 @attrs.define
 class TargetRestrictions:
     """What targets said about themselves; a new incarnation of a target has said nothing."""
 
     _rng: random.Random
-    _by_id: dict[str, _Statements] = attrs.field(factory=dict)
+    _by_incarnation: dict[str, _Statements] = attrs.field(factory=dict)
 
     def record_answer(
         self, target: targets.Target, head: messages.AnswerHead, sent_ms: int, now_ms: int
@@ -137,15 +156,15 @@
 
     def max_rate_per_s(self, target: targets.Target, now_ms: int) -> float | None:
         """Returns the rate that a target takes from all hosts together, None without a limit."""
-        known = self._by_id.get(target.target_id)
-        if known is None or known.born_ms != target.born_ms or not known.is_current(now_ms):
+        known = self._by_incarnation.get(target.incarnation)
+        if known is None or not known.is_current(now_ms):
             return None
         return known.max_rate_per_s
 
     def next_send_ms(self, target: targets.Target, now_ms: int) -> int | None:
         """Returns the monotonic time from which this host may send to a target, None for never."""
         known = self._for(target)
-        if known.leaving_since_ms is not None:
+        if known.is_leaving(now_ms):
             return None
         earliest_ms = max(now_ms, known.waits_until_ms)
         rate = self.max_rate_per_s(target, now_ms)
@@ -156,7 +175,7 @@
     def restriction(self, target: targets.Target, now_ms: int) -> Restriction | None:
         """Returns why a target must not be sent a request now, None if it may be."""
         known = self._for(target)
-        if known.leaving_since_ms is not None:
+        if known.is_leaving(now_ms):
             return Restriction.LEAVING
         if known.waits_until_ms > now_ms:
             return Restriction.WAITING
@@ -187,18 +206,10 @@
         known.next_send_ms = now_ms + int(min(host_count, share_count) * _MS_PER_S / rate)
         return True
 
-    def forget(self, target_id: str) -> None:
-        """Discards what a target said that was removed."""
-        self._by_id.pop(target_id, None)
-
     def merge(self, reports: Iterable[StatementReport], now_ms: int) -> None:
         """Merges what targets stated to other hosts; the latest statement holds."""
         for report in reports:
-            known = self._by_id.get(report.target_id)
-            if known is not None and known.born_ms > report.born_ms:
-                continue
-            if known is None or known.born_ms < report.born_ms:
-                known = self._by_id[report.target_id] = _Statements(report.born_ms)
+            known = self._statements(report.target_id, report.born_ms)
             stated_ms = now_ms - report.age_ms
             if known.stated_ms is None or known.stated_ms < stated_ms:
                 known.max_rate_per_s = report.max_rate_per_s
@@ -206,17 +217,29 @@
 
     def reports(self, now_ms: int) -> list[StatementReport]:
         """Returns the latest statements, for other hosts."""
+        idle = [key for key, item in self._by_incarnation.items() if item.is_idle(now_ms)]
+        for incarnation in idle:
+            del self._by_incarnation[incarnation]
         current = (
-            StatementReport(target_id, known.born_ms, known.max_rate_per_s, now_ms - stated_ms)
-            for target_id, known in self._by_id.items()
+            StatementReport(
+                known.target_id, known.born_ms, known.max_rate_per_s, now_ms - stated_ms
+            )
+            for known in self._by_incarnation.values()
             if (stated_ms := known.stated_ms) is not None and known.is_current(now_ms)
         )
         return heapq.nsmallest(MAX_REPORTED_STATEMENTS, current, key=lambda report: report.age_ms)
 
+    def __len__(self) -> int:
+        return len(self._by_incarnation)
+
     def _for(self, target: targets.Target) -> _Statements:
-        known = self._by_id.get(target.target_id)
-        if known is None or known.born_ms != target.born_ms:
-            known = self._by_id[target.target_id] = _Statements(target.born_ms)
+        return self._statements(target.target_id, target.born_ms)
+
+    def _statements(self, target_id: str, born_ms: int) -> _Statements:
+        key = targets.incarnation_of(target_id, born_ms)
+        known = self._by_incarnation.get(key)
+        if known is None:
+            known = self._by_incarnation[key] = _Statements(target_id, born_ms)
         return known
 
 
--- a/src/sesamehold/process/gateway/targets.py
+++ b/src/sesamehold/process/gateway/targets.py
@@ -34,7 +34,12 @@
     @property
     def incarnation(self) -> str:
         """Returns the identity of this start of the target, from `target_id` and `born_ms`."""
-        return f"{self.target_id}@{self.born_ms}"
+        return incarnation_of(self.target_id, self.born_ms)
+
+
+def incarnation_of(target_id: str, born_ms: int) -> str:
+    """Returns the identity of one start of a target."""
+    return f"{target_id}@{born_ms}"
 
 
 @attrs.define
--- a/testing/platform/test_stated_restrictions.py
+++ b/testing/platform/test_stated_restrictions.py
@@ -193,3 +193,29 @@
                 assert statuses[-1] == (b"200" if has_other else b"503")
 
     stand_in.run(main)
+
+
+def test_target_that_leaves_stays_restricted_when_its_entry_is_gone_and_back() -> None:
+    """Guards against an entry that lapses during an outage of the store and returns as ready."""
+
+    async def main() -> None:
+        async def leaving(exchange: stand_in.Exchange) -> None:
+            exchange.send(200, b"answer", Server_Leaving="1")
+
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", "idempotent")]
+        worker = site.add_worker("i-0", "svc", leaving)
+        site.publish()
+        async with site:
+            gateway = await site.start_gateway()
+            assert b" 200 " in await site.send(stand_in.request("/svc/x", "r1"))
+            site.store.delete("servers/i-0")
+            while gateway.state.directory.find("i-0") is not None:
+                await asyncio.sleep(0.01)
+            site.register("i-0", "svc")
+            while gateway.state.directory.find("i-0") is None:
+                await asyncio.sleep(0.01)
+            assert b" 503 " in await site.send(stand_in.request("/svc/x", "r2"))
+            assert len(worker.exchanges) == 1
+
+    stand_in.run(main)
--- a/testing/process/gateway/test_target_restrictions.py
+++ b/testing/process/gateway/test_target_restrictions.py
@@ -109,6 +109,34 @@
     assert table.restriction(RESTARTED, now_ms) is None
 
 
+@pytest.mark.parametrize("statement", [{"leaving": True}, {"wait_ms": 500}])
+def test_late_answer_of_an_earlier_incarnation_lifts_no_restriction(
+    statement: dict[str, object],
+) -> None:
+    """Guards against a target that leaves again after it restarted, and is used all the same."""
+    table = target_restrictions.TargetRestrictions(random.Random(1))
+    table.record_answer(RESTARTED, _statement(**statement), 0, 100)
+    table.record_answer(TARGET, _head(None), 0, 110)
+    assert table.restriction(TARGET, 120) is None
+    assert table.restriction(RESTARTED, 120) is not None
+
+
+def test_targets_that_are_gone_leave_nothing_behind() -> None:
+    """Guards against memory that grows with each restart of a target."""
+    table = target_restrictions.TargetRestrictions(random.Random(1))
+    for born_ms in range(100):
+        target = targets.Target("i-1", born_ms, "svc", "10.1.0.1:80", "z1")
+        table.record_answer(target, _head(2.0), born_ms, born_ms)
+        table.try_acquire(target, 1, born_ms)
+    report = target_restrictions.StatementReport("i-2", 1, 2.0, 0)
+    table.merge([report], 100)
+    table.record_answer(TARGET, _statement(leaving=True, wait_ms=60_000), 100, 200)
+    table.reports(20_000)
+    assert len(table) == 1
+    table.reports(200 + target_restrictions.LEAVING_RETENTION_MS)
+    assert len(table) == 0
+
+
 @pytest.mark.parametrize(
     ("rate", "host_count", "interval_ms"),
     [
