--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -17,6 +17,7 @@
 from sesamehold.request.gateway import event_stream
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import ports
+from sesamehold.request.gateway import request_stages
 from sesamehold.request.gateway import target_search
 from sesamehold.version import routing
 
@@ -63,14 +64,11 @@
     _traits: crash_attribution.RequestTraits = attrs.field(init=False)
     _probed_trait: crash_attribution.Trait | None = None
     _search: target_search.TargetSearch = attrs.field(init=False)
-    _results: ports.StageResults | None = None
-    _has_stages: bool = False
-    _inputs_freed: bool = False
+    _stages: request_stages.RequestStages = attrs.field(init=False)
     _answer_started: bool = False
     _splitter: event_stream.EventSplitter = attrs.field(factory=event_stream.EventSplitter)
     _fallback: _BufferedAnswer | None = None
     _in_flight: bool = False
-    _stages_ms: int | None = None
     _answer_ms: int | None = None
     _outcome: str = ""
 
@@ -101,8 +99,7 @@
             self._outcome = self._outcome or "caller-left"
             raise
         finally:
-            if self._has_stages:
-                self._services.stages.release(self._incoming.head.request_id)
+            self._stages.release()
             self._record_outcome()
 
     def _apply_admission(self, admitted: admission.Admitted) -> None:
@@ -114,20 +111,29 @@
         self._probed_trait = admitted.probed_trait
         self._attempts = attempts.Attempts(admitted.route.repeatable, admitted.route.attempts)
         self._splitter.last_id = self._incoming.head.last_event_id
-        self._search = target_search.TargetSearch(
-            self._services.state, admitted.route, self._service, self._incoming.head
+        state, head = self._services.state, self._incoming.head
+        self._search = target_search.TargetSearch(state, admitted.route, self._service, head)
+        self._stages = request_stages.RequestStages(
+            state,
+            self._services.stages,
+            head,
+            admitted.route,
+            admitted.deadline,
+            self._urgency(),
+            self._incoming.arrived_ms,
         )
 
-    # ---- stages --------------------------------------------------------------------------------
-
     async def _serve(self) -> None:
         if self._search.is_restricted_until(self._deadline.at_ms):
             await self._fail_without_target()
             return
-        if self._route.stages and not await self._run_stages():
-            return
+        if self._route.stages:
+            failure = await self._stages.run(self._search.preferred_zone())
+            if failure is not None:
+                await self._fail_with_stages(failure)
+                return
         while True:
-            target = await self._search.find(self._results)
+            target = await self._search.find(self._stages.results)
             if self._blamed_trait() is not None:
                 await self._fail_as_crashing()
                 return
@@ -138,45 +144,11 @@
             if step is None:
                 return
             if step is attempts.NextStep.REDO_STAGES:
-                self._services.stages.release(self._incoming.head.request_id)
-                if not await self._run_stages():
+                failure = await self._stages.run_again(self._search.preferred_zone())
+                if failure is not None:
+                    await self._fail_with_stages(failure)
                     return
 
-    async def _run_stages(self) -> bool:
-        head = self._incoming.head
-        counts = head.piece_counts
-        works = tuple(
-            ports.StageWork(index, stage.service, stage.after, count, stage.result_size_bytes)
-            for index, (stage, count) in enumerate(zip(self._route.stages, counts, strict=False))
-        )
-        if not any(work.piece_count for work in works):
-            self._results = ports.StageResults(())
-            return True
-        now_ms = self._now_ms()
-        self._has_stages = True
-        self._inputs_freed = False
-        request = ports.StageRequest(
-            request_id=head.request_id,
-            piece_key=head.piece_key,
-            stages=works,
-            urgency=self._urgency(),
-            latency_goal_ms=self._route.latency_goal_ms - (now_ms - self._incoming.arrived_ms),
-            deadline_ms=self._deadline.remaining_ms(now_ms),
-            request_ms=self._services.state.route_latency.expected_ms(self._route.name),
-            preferred_zone=self._search.preferred_zone(),
-        )
-        match await self._services.stages.run(request):
-            case Result(tag="ok", ok=results):
-                self._results = results
-                self._stages_ms = self._now_ms() - now_ms
-                seconds = self._stages_ms / _MS_PER_S
-                self._services.state.metrics.stage_seconds.labels(self._route.name).observe(seconds)
-                return True
-            case Result(error=failure):
-                self._log("request.stages-failed", reason=failure.kind)
-                await self._fail(messages.Reason.STAGES_FAILED, failure.retry_after_ms)
-                return False
-
     # ---- one attempt ---------------------------------------------------------------------------
 
     async def _attempt(self, target: targets.Target) -> attempts.NextStep | None:
@@ -203,14 +175,14 @@
             expected_target_id=target.target_id,
             account=self._account.name if self._account is not None else None,
             urgency=self._urgency() if self._incoming.head.prompt is not None else None,
-            inputs=None if self._results is None else self._results.handles,
+            inputs=None if self._stages.results is None else self._stages.results.handles,
             last_event_id=self._splitter.last_id,
         )
         body = self._incoming.body
         size_bytes = None if body is None else len(body)
         head = self._services.codec.encode_request_head(self._incoming.head, order, size_bytes)
         loop = asyncio.get_running_loop()
-        release_timer = loop.call_later(INPUT_RELEASE_DELAY_S, self._release_inputs)
+        release_timer = loop.call_later(INPUT_RELEASE_DELAY_S, self._stages.free_inputs)
         try:
             sent = await self._services.client.send(
                 target,
@@ -336,7 +308,7 @@
             if first:
                 first = False
                 self._record_success(target, started_ms)
-                self._release_inputs()
+                self._stages.free_inputs()
             if not self._answer_started:
                 await self._start_answer(answer.head)
             await self._sink.send_chunk(events)
@@ -392,13 +364,6 @@
             )
         )
 
-    def _release_inputs(self) -> None:
-        # The engine has read the results; freeing them makes room for other waiting requests.
-        if self._has_stages:
-            self._services.stages.release(self._incoming.head.request_id)
-            self._has_stages = False
-            self._inputs_freed = True
-
     async def _read_body(self, answer: ports.TargetAnswer) -> bytes | None:
         chunks: list[bytes] = []
         size_bytes = 0
@@ -430,7 +395,7 @@
                 buffered.head.status, buffered.head.headers, buffered.body
             )
             return None
-        if step is attempts.NextStep.SEND_AGAIN and self._inputs_freed:
+        if step is attempts.NextStep.SEND_AGAIN and self._stages.inputs_freed:
             step = attempts.NextStep.REDO_STAGES
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
             self._log("attempt.again", target=target.target_id, after=result.value)
@@ -475,6 +440,10 @@
             return
         await self._refuse(admission.not_run_refusal(self._services.state, reason, retry_after_ms))
 
+    async def _fail_with_stages(self, failure: ports.StageFailure) -> None:
+        self._log("request.stages-failed", reason=failure.kind)
+        await self._fail(messages.Reason.STAGES_FAILED, failure.retry_after_ms)
+
     async def _fail_without_target(self) -> None:
         retry_after_ms = self._search.retry_after_ms()
         if retry_after_ms is None:
@@ -550,10 +519,10 @@
             "request.finished",
             outcome=self._outcome,
             duration_ms=duration_ms,
-            stages_ms=self._stages_ms,
+            stages_ms=self._stages.duration_ms,
             answer_ms=self._answer_ms,
             targets=sorted(self._search.tried),
-            zone=self._results.zone if self._results is not None else None,
+            zone=self._stages.results.zone if self._stages.results is not None else None,
             runs=self._attempts.runs,
             rejected=self._attempts.rejected,
         )
