Share the simulated gossip of two tests

test_crash_attribution.py and test_target_restrictions.py each had the same lossy exchange of reports.

--- a/testing/process/gateway/test_crash_attribution.py
+++ b/testing/process/gateway/test_crash_attribution.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import lossy_gossip
 import pytest
 
 from sesamehold.connection.gateway import gossip
@@ -227,7 +228,7 @@
             if now_ms % 300 == 0:
                 self._start_waiting_requests(now_ms)
             if now_ms % 400 == 0:
-                self._gossip(now_ms)
+                lossy_gossip.exchange(self.tables, self.rng, now_ms)
 
     def _send(self, now_ms: int, *, is_fatal: bool) -> None:
         host = self.rng.randrange(len(self.tables))
@@ -258,13 +259,6 @@
                 self.incarnations[engine] += len(self.tables)
         self.waiting.clear()
 
-    def _gossip(self, now_ms: int) -> None:
-        for table in self.tables:
-            reports = table.reports(now_ms)
-            for other in self.rng.sample(self.tables, min(3, len(self.tables))):
-                if self.rng.random() > 0.05:
-                    other.merge(reports, now_ms)
-
 
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize(
--- a/testing/process/gateway/test_target_restrictions.py
+++ b/testing/process/gateway/test_target_restrictions.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import lossy_gossip
 import pytest
 
 from sesamehold.connection.gateway import gossip
@@ -219,7 +220,7 @@
                 stated = self.rate if now_ms >= duration_ms // 2 else None
                 self.tables[host].record_answer(TARGET, _head(stated), sent_ms, now_ms)
             if now_ms % 400 == 0:
-                self._gossip(now_ms)
+                lossy_gossip.exchange(self.tables, self.rng, now_ms)
 
     def _send(self, now_ms: int) -> None:
         host = self.rng.randrange(len(self.tables))
@@ -227,13 +228,6 @@
             self.arrivals_ms.append(now_ms)
             self._answers.append((now_ms + self.rng.randrange(50, 1_500), host, now_ms))
 
-    def _gossip(self, now_ms: int) -> None:
-        for table in self.tables:
-            reports = table.reports(now_ms)
-            for other in self.rng.sample(self.tables, min(3, len(self.tables))):
-                if self.rng.random() > 0.05:
-                    other.merge(reports, now_ms)
-
 
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("rate", [0.5, 1.0, 3.0, 20.0])
