Show that a taken address made the stand-in wait for ever

The hang of test_stated_restrictions.py was only suspected to come from a taken port. The new test takes the address of the gateway before it starts: with the stand-in of the start waits until the limit of 10 s, with the present one it raises the error at once.

--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -512,3 +512,19 @@
             assert (await pending).endswith(b"answer")
 
     stand_in.run(main)
+
+
+def test_gateway_whose_address_is_in_use_ends_its_start() -> None:
+    """Guards against tests that wait for ever for a gateway that has ended."""
+
+    async def main() -> None:
+        site = _site("idempotent", [_ok])
+        async with site:
+            blocker = await asyncio.start_server(
+                lambda *_: None, site.ingress.ip, site.ingress.port
+            )
+            async with blocker, asyncio.timeout(10):
+                with pytest.raises(OSError, match="address already in use"):
+                    await site.start_gateway()
+
+    stand_in.run(main)
