Keep a silent stream open until another target has accepted it

Callers saw a stream end in the middle, or got 502 or 503, although the target of their stream went on after a second.

Cause: a host gave up a resumable stream after a pause of three wanted gaps (0.8 s at least), and only then ran the stages again, sought a target and sent the request. If any of these failed, it cut the stream. The class of fault is giving up what works before its replacement is certain.

Ruled out: timers that expire because a new configuration blocks the loop.

Change: the stream stays open while other targets are asked. The head of another target's answer ends it, a new event of its own ends the search, and if nobody accepts it stays where it is. The relay now gets an open answer or a typed reason why there is none, so that a failed search does not end the request.

--- a/src/sesamehold/request/gateway/attempts.py
+++ b/src/sesamehold/request/gateway/attempts.py
@@ -88,30 +88,42 @@
         """Returns whether any attempt may have started to run on a target."""
         return self.runs > 0
 
-    @property
-    def may_run_again(self) -> bool:
-        """Returns whether another target may run the request after the current attempt."""
-        return self.repeatable and self.runs + 1 < self.max_runs
+    def may_run_again(self, *, open_runs: int = 0) -> bool:
+        """Returns whether a further target may run the request.
+
+        Args:
+            open_runs: Runs that are not over and not counted yet.
+        """
+        return self.repeatable and self.runs + open_runs < self.max_runs
 
     def record(self, result: AttemptResult) -> NextStep:
-        """Records the result of an attempt and returns the next step.
+        """Counts an attempt that has ended and returns what follows it."""
+        self.count(result)
+        return self.next_step(result)
+
+    def count(self, result: AttemptResult) -> None:
+        """Counts an attempt, which may still be open, by its result so far."""
+        if result in _MAY_HAVE_RUN:
+            self.runs += 1
+        else:
+            self.rejected += 1
+
+    def next_step(self, result: AttemptResult) -> NextStep:
+        """Returns what follows an attempt that is counted and has ended.
 
         If the request cannot be sent again, for example because the retry budget is used up, the
         relay passes on the target's answer if there is one and refuses the request otherwise.
 
-        >>> Attempts(repeatable=False, max_runs=2).record(AttemptResult.UNKNOWN)
+        >>> attempts = Attempts(repeatable=False, max_runs=2)
+        >>> attempts.count(AttemptResult.UNKNOWN)
+        >>> attempts.next_step(AttemptResult.UNKNOWN)
         <NextStep.REFUSE: 'refuse'>
         """
-        if result in _MAY_HAVE_RUN:
-            self.runs += 1
-        else:
-            self.rejected += 1
         if result is AttemptResult.ANSWERED:
             return NextStep.PASS_ANSWER
         if result in _MAY_HAVE_RUN:
-            may_retry = self.repeatable and self.runs < self.max_runs
             fallback = NextStep.PASS_ANSWER if result is AttemptResult.FAILED else NextStep.REFUSE
-            return NextStep.SEND_AGAIN if may_retry else fallback
+            return NextStep.SEND_AGAIN if self.may_run_again() else fallback
         if self.rejected >= MAX_REJECTED_SENDS or (self.may_have_run and not self.repeatable):
             return NextStep.REFUSE
         return NextStep.REDO_STAGES if result is AttemptResult.INPUTS_GONE else NextStep.SEND_AGAIN
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -75,10 +75,6 @@
     """The answer of a target is incomplete."""
 
 
-class StalledAnswerError(BrokenAnswerError):
-    """The answer of a target has stopped, although its connection is open."""
-
-
 class TargetClient(Protocol):
     """Sends requests to targets."""
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import attrs
+from expression import Error
+from expression import Ok
 from expression import Result
 
 from sesamehold.process.gateway import crash_attribution
@@ -14,23 +15,18 @@
 from sesamehold.request import deadline as deadlines
 from sesamehold.request.gateway import admission
 from sesamehold.request.gateway import attempts
-from sesamehold.request.gateway import event_stream
 from sesamehold.request.gateway import messages
+from sesamehold.request.gateway import open_answer
 from sesamehold.request.gateway import ports
 from sesamehold.request.gateway import request_stages
+from sesamehold.request.gateway import stream_forwarding
 from sesamehold.request.gateway import target_search
 from sesamehold.version import routing
 
 # Answers up to this size are buffered and verified completely before the caller receives any byte.
 MAX_BUFFERED_BYTES = 262_144
-# A stopped target is restarted or replaced after a few hundred milliseconds at the earliest.
-NO_TARGET_RETRY_MS = 400
 # Minimum time that a target needs; with less time left, the request is not sent again.
 MIN_REMAINING_MS = 30
-# A resumable stream is considered stalled, and is resumed, after a pause of this many times the
-# wanted gap between events, but not before the minimum below.
-STALL_GAP_FACTOR = 3
-MIN_STALL_MS = 800
 MAX_URGENCY = 9
 # Delay after which stage results are freed to make room. Engines fetch them within milliseconds
 # after a request starts. An engine that queued the request for longer rejects it, and the stages
@@ -65,8 +61,8 @@
     _probed_trait: crash_attribution.Trait | None = None
     _search: target_search.TargetSearch = attrs.field(init=False)
     _stages: request_stages.RequestStages = attrs.field(init=False)
+    _streams: stream_forwarding.StreamForwarder = attrs.field(init=False)
     _answer_started: bool = False
-    _splitter: event_stream.EventSplitter = attrs.field(factory=event_stream.EventSplitter)
     _fallback: _BufferedAnswer | None = None
     _in_flight: bool = False
     _answer_ms: int | None = None
@@ -94,7 +90,7 @@
             async with asyncio.timeout(remaining_ms / _MS_PER_S):
                 await self._serve()
         except TimeoutError:
-            await self._fail(messages.Reason.TOO_LATE)
+            await self._fail(open_answer.NoAnswer(messages.Reason.TOO_LATE))
         except asyncio.CancelledError:
             self._outcome = self._outcome or "caller-left"
             raise
@@ -110,8 +106,9 @@
         self._traits = admitted.traits
         self._probed_trait = admitted.probed_trait
         self._attempts = attempts.Attempts(admitted.route.repeatable, admitted.route.attempts)
-        self._splitter.last_id = self._incoming.head.last_event_id
         state, head = self._services.state, self._incoming.head
+        self._streams = stream_forwarding.StreamForwarder(self, admitted.route, state.clock)
+        self._streams.splitter.last_id = head.last_event_id
         self._search = target_search.TargetSearch(state, admitted.route, self._service, head)
         self._stages = request_stages.RequestStages(
             state,
@@ -125,58 +122,89 @@
 
     async def _serve(self) -> None:
         if self._search.is_restricted_until(self._deadline.at_ms):
-            await self._fail_without_target()
+            await self._end_unanswered(self._no_target())
             return
         if self._route.stages:
             failure = await self._stages.run(self._search.preferred_zone())
             if failure is not None:
-                await self._fail_with_stages(failure)
+                await self._end_unanswered(self._stages_failed(failure))
                 return
-        while True:
-            target = await self._search.find(self._stages.results)
-            if self._blamed_trait() is not None:
-                await self._fail_as_crashing()
-                return
-            if target is None:
-                await self._fail_without_target()
-                return
-            step = await self._attempt(target)
-            if step is None:
-                return
-            if step is attempts.NextStep.REDO_STAGES:
-                failure = await self._stages.run_again(self._search.preferred_zone())
-                if failure is not None:
-                    await self._fail_with_stages(failure)
+        outcome: open_answer.OpenResult | None = await self._open_answer()
+        while outcome is not None:
+            match outcome:
+                case Result(tag="ok", ok=opened):
+                    outcome = await self._forward(opened)
+                case Result(error=no_answer):
+                    await self._end_unanswered(no_answer)
                     return
 
-    # ---- one attempt ---------------------------------------------------------------------------
+    # ---- attempts ------------------------------------------------------------------------------
 
-    async def _attempt(self, target: targets.Target) -> attempts.NextStep | None:
-        """Sends the request once; returns the next step, None after the final answer."""
-        state = self._services.state
+    async def _open_answer(
+        self, *, redo_stages: bool = False, untried_only: bool = False
+    ) -> open_answer.OpenResult:
+        """Sends the request to one target after another until one begins a successful answer."""
+        while True:
+            if redo_stages:
+                failure = await self._stages.run_again(self._search.preferred_zone())
+                if failure is not None:
+                    return Error(self._stages_failed(failure))
+            target = await self._search.find(self._stages.results, untried_only=untried_only)
+            if self._blamed_trait() is not None:
+                return Error(open_answer.NoAnswer(messages.Reason.CRASHES_TARGETS))
+            if target is None:
+                return Error(self._no_target())
+            match await self._attempt(target):
+                case Result(tag="ok", ok=opened):
+                    return Ok(opened)
+                case Result(error=result):
+                    step = self._attempts.record(result)
+            match self._decide_next_step(target, step, result):
+                case Result(tag="ok", ok=next_step):
+                    redo_stages = next_step is attempts.NextStep.REDO_STAGES
+                case Result(error=no_answer):
+                    return Error(no_answer)
+
+    async def _attempt(
+        self, target: targets.Target
+    ) -> Result[open_answer.OpenAnswer, attempts.AttemptResult]:
+        """Sends the request once and waits for the head of the answer."""
+        ranking = self._services.state.ranking
         started_ms = self._now_ms()
         self._search.tried.add(target.incarnation)
-        state.ranking.record_start(target)
+        ranking.record_start(target)
         self._in_flight = True
+        is_open = False
         try:
-            result = await self._exchange(target, started_ms)
-            self._in_flight = False
+            match await self._send(target, started_ms):
+                case Result(tag="ok", ok=answer):
+                    is_open = True
+                    return Ok(
+                        open_answer.OpenAnswer(
+                            target, answer, started_ms, lambda: ranking.record_end(target)
+                        )
+                    )
+                case Result(error=result):
+                    self._in_flight = False
+                    return Error(result)
+        except asyncio.CancelledError:
+            self._attempts.count(attempts.AttemptResult.UNKNOWN)
+            raise
         finally:
-            state.ranking.record_end(target)
-        if result is None:
-            return None
-        return await self._decide_next_step(target, result)
+            if not is_open:
+                ranking.record_end(target)
 
-    async def _exchange(
+    async def _send(
         self, target: targets.Target, started_ms: int
-    ) -> attempts.AttemptResult | None:
+    ) -> Result[ports.TargetAnswer, attempts.AttemptResult]:
+        """Returns a successful answer whose body is still to be read, or the result."""
         order = messages.SendOptions(
             remaining_ms=self._deadline.remaining_ms(started_ms),
             expected_target_id=target.target_id,
             account=self._account.name if self._account is not None else None,
             urgency=self._urgency() if self._incoming.head.prompt is not None else None,
             inputs=None if self._stages.results is None else self._stages.results.handles,
-            last_event_id=self._splitter.last_id,
+            last_event_id=self._streams.splitter.last_id,
         )
         body = self._incoming.body
         size_bytes = None if body is None else len(body)
@@ -194,9 +222,12 @@
             release_timer.cancel()
         match sent:
             case Result(tag="ok", ok=answer):
-                return await self._handle_answer(target, answer, started_ms)
+                result = attempts.classify(answer.head)
+                if result is attempts.AttemptResult.ANSWERED and answer.head.succeeded:
+                    return Ok(answer)
+                return Error(await self._handle_failure(target, answer, result, started_ms))
             case Result(error=fault):
-                return self._handle_fault(target, fault, started_ms)
+                return Error(self._handle_fault(target, fault, started_ms))
 
     def _handle_fault(
         self, target: targets.Target, fault: ports.ExchangeFault, started_ms: int
@@ -212,21 +243,19 @@
             self._record_crash(target, started_ms)
         return attempts.AttemptResult.UNKNOWN
 
-    async def _handle_answer(
-        self, target: targets.Target, answer: ports.TargetAnswer, started_ms: int
-    ) -> attempts.AttemptResult | None:
-        state = self._services.state
+    async def _handle_failure(
+        self,
+        target: targets.Target,
+        answer: ports.TargetAnswer,
+        result: attempts.AttemptResult,
+        started_ms: int,
+    ) -> attempts.AttemptResult:
+        """Reads an answer that is no success, and keeps it if it may be passed on."""
         head = answer.head
-        result = attempts.classify(head)
         try:
-            if result is attempts.AttemptResult.ANSWERED and head.succeeded:
-                return await self._forward_success(target, answer, started_ms)
             body = await self._read_body(answer)
         except ports.BrokenAnswerError as error:
-            self._log("attempt.broken", target=target.target_id, fault=str(error))
-            state.ranking.record_failure(target, self._now_ms())
-            if not isinstance(error, ports.StalledAnswerError):
-                self._record_crash(target, started_ms)
+            self._record_broken(target, error, started_ms)
             return (
                 attempts.AttemptResult.NOT_RUN if head.not_run else attempts.AttemptResult.UNKNOWN
             )
@@ -255,11 +284,39 @@
         if result is not attempts.AttemptResult.INPUTS_GONE:
             state.ranking.record_failure(target, now_ms)
 
-    async def _forward_success(
-        self, target: targets.Target, answer: ports.TargetAnswer, started_ms: int
-    ) -> attempts.AttemptResult | None:
-        if self._route.kind is routing.RequestKind.STREAMING:
-            return await self._forward_stream(target, answer, started_ms)
+    async def _read_body(self, answer: ports.TargetAnswer) -> bytes | None:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        async for chunk in answer.chunks():
+            chunks.append(chunk)
+            size_bytes += len(chunk)
+            if size_bytes > MAX_BUFFERED_BYTES:
+                return None
+        return b"".join(chunks)
+
+    # ---- forwarding of an answer ---------------------------------------------------------------
+
+    async def _forward(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult | None:
+        """Forwards an answer; returns None once the caller has all of it, else what follows."""
+        try:
+            if self._route.kind is routing.RequestKind.STREAMING:
+                following = await self._streams.forward(opened)
+                if following is not None:
+                    return following
+                self._record_completion()
+                await self._finish_answer()
+            else:
+                await self._forward_body(opened)
+            return None
+        except ports.BrokenAnswerError as error:
+            self.on_broken(opened, error)
+        finally:
+            opened.release()
+        return await self._continue_elsewhere(opened)
+
+    async def _forward_body(self, opened: open_answer.OpenAnswer) -> None:
+        """Forwards an answer that is no stream; the caller gets a small one once it is complete."""
+        answer = opened.answer
         chunks: list[bytes] = []
         size_bytes = 0
         async for chunk in answer.chunks():
@@ -271,140 +328,107 @@
             if size_bytes > MAX_BUFFERED_BYTES:
                 await self._start_answer(answer.head)
                 await self._sink.send_chunk(b"".join(chunks))
-        self._record_success(target, started_ms)
-        state = self._services.state
-        state.crashes.record_completion(self._traits, self._now_ms())
+        self._record_success(opened)
+        self._record_completion()
         if self._answer_started:
             await self._finish_answer()
-        else:
-            self._outcome = "served"
-            await self._sink.send_complete(
-                answer.head.status, answer.head.headers, b"".join(chunks)
-            )
-        return None
-
-    async def _forward_stream(
-        self, target: targets.Target, answer: ports.TargetAnswer, started_ms: int
-    ) -> attempts.AttemptResult | None:
-        first = True
-        self._splitter.start_attempt(is_resumed=self._answer_started)
-        chunks = answer.chunks()
-        progress_ms = self._now_ms()
-        may_resume = self._may_resume()
-        while True:
-            stall_at_ms = self._stall_at_ms(progress_ms, first=first) if may_resume else None
-            chunk = await self._next_chunk(chunks, stall_at_ms)
-            if chunk is None:
-                break
-            known_id = self._splitter.last_id
-            try:
-                events = self._splitter.feed(chunk)
-            except event_stream.MalformedStreamError as error:
-                raise ports.BrokenAnswerError(str(error)) from error
-            if self._splitter.last_id != known_id:
-                progress_ms = self._now_ms()
-            if not events:
-                continue
-            if first:
-                first = False
-                self._record_success(target, started_ms)
-                self._stages.free_inputs()
-            if not self._answer_started:
-                await self._start_answer(answer.head)
-            await self._sink.send_chunk(events)
-        if self._splitter.has_partial_event or not self._answer_started:
-            raise ports.BrokenAnswerError("the stream ended within an event")
-        if first and answer.delimited_by_close:
-            raise ports.BrokenAnswerError("the resumed stream ended without an event")
-        self._services.state.crashes.record_completion(self._traits, self._now_ms())
-        await self._finish_answer()
-        return None
-
-    async def _next_chunk(
-        self, chunks: AsyncIterator[bytes], stall_at_ms: int | None
-    ) -> bytes | None:
-        """Returns the next part of a stream, None at its end.
+            return
+        self._outcome = "served"
+        await self._sink.send_complete(answer.head.status, answer.head.headers, b"".join(chunks))
 
-        Args:
-            chunks: Parts of the stream.
-            stall_at_ms: Monotonic time from which the stream is broken, None if it never is.
-        """
-        if stall_at_ms is None:
-            return await anext(chunks, None)
-        left_ms = max(0, stall_at_ms - self._now_ms())
-        stall_timeout = asyncio.timeout(left_ms / _MS_PER_S)
-        try:
-            async with stall_timeout:
-                return await anext(chunks, None)
-        except TimeoutError:
-            if stall_timeout.expired():
-                raise ports.StalledAnswerError("silent") from None
-            raise
+    async def _continue_elsewhere(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult:
+        """Sends the request to another target after an answer broke off, if that is allowed."""
+        result = attempts.AttemptResult.UNKNOWN
+        self._count_run(opened)
+        match self._decide_next_step(opened.target, self._attempts.next_step(result), result):
+            case Result(tag="ok", ok=step):
+                return await self._open_answer(redo_stages=step is attempts.NextStep.REDO_STAGES)
+            case Result(error=no_answer):
+                return Error(no_answer)
 
-    def _stall_at_ms(self, progress_ms: int, *, first: bool) -> int:
-        """Returns when the stream has stalled: too long without an event that has a new id.
+    def _count_run(self, opened: open_answer.OpenAnswer) -> None:
+        if not opened.is_counted:
+            opened.is_counted = True
+            self._attempts.count(attempts.AttemptResult.UNKNOWN)
 
-        Other bytes, such as comments or parts of an event, are no progress.
-        """
-        stall_ms = max(MIN_STALL_MS, self._route.event_gap_goal_ms * STALL_GAP_FACTOR)
-        if first:
-            stall_ms = max(stall_ms, self._route.latency_goal_ms)
-        return progress_ms + stall_ms
+    # ---- streams, see `stream_forwarding.StreamedRequest` --------------------------------------
 
-    def _may_resume(self) -> bool:
-        """Returns whether another target could go on with the stream; without one it is not cut."""
+    @property
+    def answer_started(self) -> bool:
+        """Returns whether the caller has received the head of the answer."""
+        return self._answer_started
+
+    async def forward_events(self, opened: open_answer.OpenAnswer, events: bytes) -> None:
+        """Sends complete events to the caller, after the head if they are the first ones."""
+        if not self._answer_started:
+            await self._start_answer(opened.answer.head)
+        await self._sink.send_chunk(events)
+
+    def on_first_event(self, opened: open_answer.OpenAnswer) -> None:
+        """Records that a target answers, and frees the inputs that it has read."""
+        self._record_success(opened)
+        self._stages.free_inputs()
+
+    def on_broken(self, opened: open_answer.OpenAnswer, error: ports.BrokenAnswerError) -> None:
+        """Records that the answer of a target broke off."""
+        self._record_broken(opened.target, error, opened.started_ms)
+
+    def may_replace(self, stalled: open_answer.OpenAnswer) -> bool:
+        """Returns whether another target could go on with a stream now."""
         state = self._services.state
         now_ms = self._now_ms()
+        host_count = len(state.hosts.known_addresses(now_ms))
         return (
             self._route.resumable
-            and self._attempts.may_run_again
+            and self._attempts.may_run_again(open_runs=0 if stalled.is_counted else 1)
             and self._search.has_untried()
-            and state.retry_budget.has_left(
-                self._service, len(state.hosts.known_addresses(now_ms)), now_ms
-            )
+            and state.retry_budget.has_left(self._service, host_count, now_ms)
         )
 
-    async def _read_body(self, answer: ports.TargetAnswer) -> bytes | None:
-        chunks: list[bytes] = []
-        size_bytes = 0
-        async for chunk in answer.chunks():
-            chunks.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_BUFFERED_BYTES:
-                return None
-        return b"".join(chunks)
+    async def open_replacement(self, stalled: open_answer.OpenAnswer) -> open_answer.OpenResult:
+        """Sends the request to other targets until one accepts to go on with a stalled stream."""
+        result = attempts.AttemptResult.UNKNOWN
+        self._log("attempt.stalled", target=stalled.target.target_id)
+        self._services.state.ranking.record_failure(stalled.target, self._now_ms())
+        self._count_run(stalled)
+        match self._decide_next_step(stalled.target, attempts.NextStep.SEND_AGAIN, result):
+            case Result(tag="ok", ok=step):
+                redo_stages = step is attempts.NextStep.REDO_STAGES
+            case Result(error=no_answer):
+                return Error(no_answer)
+        try:
+            outcome = await self._open_answer(redo_stages=redo_stages, untried_only=True)
+        except asyncio.CancelledError:
+            self._stages.free_inputs()
+            raise
+        stalled_id = stalled.target.target_id
+        match outcome:
+            case Result(tag="ok", ok=opened):
+                self._log("attempt.replaced", target=stalled_id, by=opened.target.target_id)
+            case Result(error=no_answer):
+                self._log("attempt.not-replaced", target=stalled_id, reason=no_answer.reason.value)
+        return outcome
 
     # ---- next step -----------------------------------------------------------------------------
 
-    async def _decide_next_step(
-        self, target: targets.Target, result: attempts.AttemptResult
-    ) -> attempts.NextStep | None:
-        step = self._attempts.record(result)
+    def _decide_next_step(
+        self, target: targets.Target, step: attempts.NextStep, result: attempts.AttemptResult
+    ) -> Result[attempts.NextStep, open_answer.NoAnswer]:
+        """Returns whether to send the request again, or to do its stages again before."""
         state = self._services.state
         state.metrics.attempts.labels(self._service, result.value).inc()
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
             step = self._check_limits(step, result)
-        if (
-            step is attempts.NextStep.PASS_ANSWER
-            and self._fallback is not None
-            and not self._answer_started
-        ):
-            buffered = self._fallback
-            self._outcome = f"passed-{buffered.head.status}"
-            await self._sink.send_complete(
-                buffered.head.status, buffered.head.headers, buffered.body
-            )
-            return None
         if step is attempts.NextStep.SEND_AGAIN and self._stages.inputs_freed:
             step = attempts.NextStep.REDO_STAGES
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
             self._log("attempt.again", target=target.target_id, after=result.value)
-            return step
+            return Ok(step)
         reason = messages.Reason.OUTCOME_UNKNOWN
         if not self._attempts.may_have_run:
             reason = messages.Reason.REJECTED
-        await self._fail(reason)
-        return None
+        passes_failure = step is attempts.NextStep.PASS_ANSWER
+        return Error(open_answer.NoAnswer(reason, passes_failure=passes_failure))
 
     def _check_limits(
         self, step: attempts.NextStep, result: attempts.AttemptResult
@@ -427,10 +451,32 @@
             return fallback
         return step
 
-    async def _fail(
-        self, reason: messages.Reason, retry_after_ms: int = NO_TARGET_RETRY_MS
-    ) -> None:
+    def _no_target(self) -> open_answer.NoAnswer:
+        retry_after_ms = self._search.retry_after_ms()
+        if retry_after_ms is None:
+            return open_answer.NoAnswer(messages.Reason.NO_TARGET)
+        return open_answer.NoAnswer(messages.Reason.NO_TARGET, retry_after_ms)
+
+    def _stages_failed(self, failure: ports.StageFailure) -> open_answer.NoAnswer:
+        self._log("request.stages-failed", reason=failure.kind)
+        return open_answer.NoAnswer(messages.Reason.STAGES_FAILED, failure.retry_after_ms)
+
+    # ---- ends without an answer of a target ----------------------------------------------------
+
+    async def _end_unanswered(self, no_answer: open_answer.NoAnswer) -> None:
+        """Gives the caller the failure of a target, or a refusal."""
+        failure = self._fallback
+        if no_answer.passes_failure and failure is not None and not self._answer_started:
+            self._outcome = f"passed-{failure.head.status}"
+            await self._sink.send_complete(failure.head.status, failure.head.headers, failure.body)
+        elif no_answer.reason is messages.Reason.CRASHES_TARGETS:
+            await self._fail_as_crashing()
+        else:
+            await self._fail(no_answer)
+
+    async def _fail(self, no_answer: open_answer.NoAnswer) -> None:
         """Ends a request that cannot be served; states "not run" only if that is certain."""
+        reason = no_answer.reason
         if self._answer_started:
             self._outcome = f"cut-{reason.value}"
             self._sink.abort()
@@ -438,23 +484,14 @@
         if self._attempts.may_have_run or self._in_flight:
             await self._refuse(messages.Refusal(reason, may_have_run=True))
             return
-        await self._refuse(admission.not_run_refusal(self._services.state, reason, retry_after_ms))
-
-    async def _fail_with_stages(self, failure: ports.StageFailure) -> None:
-        self._log("request.stages-failed", reason=failure.kind)
-        await self._fail(messages.Reason.STAGES_FAILED, failure.retry_after_ms)
-
-    async def _fail_without_target(self) -> None:
-        retry_after_ms = self._search.retry_after_ms()
-        if retry_after_ms is None:
-            retry_after_ms = NO_TARGET_RETRY_MS
-        await self._fail(messages.Reason.NO_TARGET, retry_after_ms)
+        state = self._services.state
+        await self._refuse(admission.not_run_refusal(state, reason, no_answer.retry_after_ms))
 
     async def _fail_as_crashing(self) -> None:
         """Ends a request that would crash its next target; a retry would fare no better."""
         reason = messages.Reason.CRASHES_TARGETS
         if self._answer_started or self._attempts.may_have_run:
-            await self._fail(reason)
+            await self._fail(open_answer.NoAnswer(reason))
         else:
             await self._refuse(messages.Refusal(reason))
 
@@ -478,18 +515,27 @@
 
     # ---- observations --------------------------------------------------------------------------
 
-    def _record_success(self, target: targets.Target, started_ms: int) -> None:
+    def _record_success(self, opened: open_answer.OpenAnswer) -> None:
         state = self._services.state
-        now_ms = self._now_ms()
-        self._answer_ms = now_ms - started_ms
-        state.ranking.record_latency(target, self._answer_ms)
+        self._answer_ms = self._now_ms() - opened.started_ms
+        state.ranking.record_latency(opened.target, self._answer_ms)
         state.route_latency.record(self._route.name, self._answer_ms)
-        seconds = (now_ms - started_ms) / _MS_PER_S
+        seconds = self._answer_ms / _MS_PER_S
         state.metrics.attempt_seconds.labels(self._service).observe(seconds)
         state.metrics.attempts.labels(self._service, "answered").inc()
 
+    def _record_completion(self) -> None:
+        self._services.state.crashes.record_completion(self._traits, self._now_ms())
+
+    def _record_broken(
+        self, target: targets.Target, error: ports.BrokenAnswerError, started_ms: int
+    ) -> None:
+        self._log("attempt.broken", target=target.target_id, fault=str(error))
+        self._services.state.ranking.record_failure(target, self._now_ms())
+        self._record_crash(target, started_ms)
+
     def _record_crash(self, target: targets.Target, started_ms: int) -> None:
-        if self._splitter.event_count:
+        if self._streams.splitter.event_count:
             return
         # A further attempt would crash a further target if the probe has failed.
         self._probed_trait = None
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -33,19 +33,24 @@
     _head: messages.RequestHead
     tried: set[str] = attrs.field(factory=set)
 
-    async def find(self, results: ports.StageResults | None) -> targets.Target | None:
+    async def find(
+        self, results: ports.StageResults | None, *, untried_only: bool = False
+    ) -> targets.Target | None:
         """Waits for a target that may receive the request; returns None if the wait times out.
 
         If the targets' own restrictions let none of them receive it in time, it does not wait.
 
         Args:
             results: Results of the request's stages, None if it has no stages.
+            untried_only: Whether targets that the request was already sent to are left out, because
+                one of them may still run it.
         """
         wait_until_ms = self._now_ms() + int(self._route.latency_goal_ms * TARGET_WAIT_FRACTION)
         while True:
             candidates = self._state.directory.usable(self._service)
             untried = [item for item in candidates if item.incarnation not in self.tried]
-            for target in self._rank(untried or candidates, results):
+            allowed = untried if untried or untried_only else candidates
+            for target in self._rank(allowed, results):
                 if self._state.try_reserve_send(target):
                     return target
             if self._now_ms() >= wait_until_ms or self.is_restricted_until(wait_until_ms):
--- a/testing/platform/test_silent_targets.py
+++ b/testing/platform/test_silent_targets.py
@@ -151,3 +151,51 @@
             assert [answer.count(event) for event in EVENTS] == [1, 1, 1, 1]
 
     stand_in.run(main)
+
+
+class Ending:
+    """Plays a script and records when it ended, also if its connection was closed."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.started = asyncio.Event()
+        self.ended = asyncio.Event()
+
+    async def __call__(self, exchange: Exchange) -> None:
+        self.started.set()
+        try:
+            await self.script(exchange)
+        finally:
+            self.ended.set()
+
+
+# Time within which a target must be left after another one has the stream.
+HANDOVER_LIMIT_S = 0.4
+
+
+@pytest.mark.parametrize(
+    ("second", "keeps_first"),
+    [
+        pytest.param(_rest, False, id="the-other-takes-it"),
+        pytest.param(_queue, True, id="the-first-goes-on"),
+    ],
+)
+def test_only_one_target_keeps_a_stream_that_stalled(second: Script, keeps_first: bool) -> None:
+    """Guards against a request that stays at work at two targets."""
+
+    async def main() -> None:
+        first, other = Ending(_silent_after(2)), Ending(second)
+        async with _engines(first, other) as environment:
+            await environment.start_gateway()
+            data = stand_in.request("/svc/x", Deadline_Remaining="8000")
+            sending = asyncio.create_task(environment.send(data))
+            await other.started.wait()
+            kept, left = (first, other) if keeps_first else (other, first)
+            if keeps_first:
+                assert not left.ended.is_set()
+                await kept.ended.wait()
+            async with asyncio.timeout(HANDOVER_LIMIT_S):
+                await left.ended.wait()
+            assert (await sending).endswith(b"0\r\n\r\n")
+
+    stand_in.run(main)
