Log the era of the store and what a listing of it holds

The log of a host whose store has returned from an older copy did not say which era an answer belongs to, which revision a listing has, or that an item of it was left out as older.

store.listed, item.kept and the era in store.history-lost say it, as does the gauge sesamehold_store_era. No decision changes.

--- a/src/sesamehold/platform/names.py
+++ b/src/sesamehold/platform/names.py
@@ -28,6 +28,7 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 NOT_RUN = b"not-run"
+STORE_ERA = "Store-Era"
 AUTHORIZATION = b"authorization"
 
 STAGE_RUN_PATH = "/-/stage-run"
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -27,6 +27,14 @@
 _STATUS_GONE = 410
 
 
+@attrs.frozen
+class _Answer:
+    """Answer of the store; `document` is None if its status is 410."""
+
+    era: int
+    document: dict[str, Any] | None
+
+
 @attrs.define(eq=False)
 class PlatformStore:
     """Reads and watches the store."""
@@ -70,10 +78,12 @@
         parameters = {"prefix": prefix}
         while True:
             match await self._get(names.STORE_RANGE_PATH, parameters, READ_TIMEOUT_S):
-                case Result(tag="ok", ok=document):
-                    pass
+                case Result(tag="ok", ok=answer):
+                    document = answer.document
                 case Result(error=unavailable):
                     return Error(unavailable)
+            if document is None:
+                return Error(directory_events.StoreUnavailable(f"status {_STATUS_GONE}"))
             try:
                 page = [_decode_item(entry) for entry in document["items"]]
                 page_revision = int(document["storeRevision"])
@@ -82,7 +92,7 @@
             revision = page_revision if revision is None else min(revision, page_revision)
             items += page
             if not document.get("truncated") or not page:
-                return Ok(store_replica.StoreListing(tuple(items), revision))
+                return Ok(store_replica.StoreListing(tuple(items), revision, answer.era))
             parameters = {"prefix": prefix, "after": page[-1].key}
 
     async def watch(
@@ -99,30 +109,33 @@
         }
         timeout_s = WATCH_TIMEOUT_S + wait_ms / _MS_PER_S
         match await self._get(names.STORE_WATCH_PATH, parameters, timeout_s):
-            case Result(tag="ok", ok=document):
-                pass
+            case Result(tag="ok", ok=answer):
+                document = answer.document
             case Result(error=unavailable):
-                if unavailable.reason == f"status {_STATUS_GONE}":
-                    return Error(directory_events.HistoryLost())
                 return Error(unavailable)
+        if document is None:
+            return Error(directory_events.HistoryLost(answer.era))
         try:
             items = tuple(_decode_item(entry) for entry in document["events"])
             revision = int(document["storeRevision"])
         except _DECODE_ERRORS as error:
             return Error(_malformed_answer(error))
-        return Ok(store_replica.StoreListing(items, revision))
+        return Ok(store_replica.StoreListing(items, revision, answer.era))
 
     async def _get(
         self, path: str, parameters: dict[str, str], timeout_s: float
-    ) -> Result[dict[str, Any], directory_events.StoreUnavailable]:
+    ) -> Result[_Answer, directory_events.StoreUnavailable]:
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.get(
                 self._base_url + path, params=parameters, timeout=timeout
             ) as response:
-                if response.status != 200:
+                if response.status not in (200, _STATUS_GONE):
                     reason = f"status {response.status}"
                     return Error(directory_events.StoreUnavailable(reason))
+                era = int(response.headers.get(names.STORE_ERA, "0"))
+                if response.status == _STATUS_GONE:
+                    return Ok(_Answer(era, None))
                 document = json.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
             return Error(directory_events.StoreUnavailable(type(error).__name__))
@@ -130,7 +143,7 @@
             return Error(_malformed_answer(error))
         if not isinstance(document, dict):
             return Error(directory_events.StoreUnavailable("malformed answer: not an object"))
-        return Ok(document)
+        return Ok(_Answer(era, document))
 
 
 _DECODE_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
--- a/src/sesamehold/process/gateway/directory_events.py
+++ b/src/sesamehold/process/gateway/directory_events.py
@@ -75,7 +75,13 @@
 
 @attrs.frozen
 class HistoryLost:
-    """The store no longer keeps the changes since the requested revision."""
+    """The store does not have the changes since the requested revision.
+
+    Attributes:
+        era: Era of the store that gave this answer.
+    """
+
+    era: int = 0
 
 
 class DirectorySource(Protocol):
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -113,6 +113,7 @@
             case Result(tag="ok", ok=listing):
                 self._record_answer(prefix)
                 now_ms = self._state.clock.now_ms()
+                self._log_listing(prefix, listing)
                 self._apply(self.replicas[prefix].merge_listing(listing, now_ms))
                 return True
             case Result(error=unavailable):
@@ -134,14 +135,35 @@
             self._apply(replica.merge_changes(listing.items, listing.revision, now_ms))
             return _WatchOutcome.ANSWERED
         match answer.error:
-            case directory_events.HistoryLost():
+            case directory_events.HistoryLost(era=era):
                 self._record_answer(prefix)
-                self._state.log.write("store.history-lost", prefix=prefix, after=replica.horizon)
+                self._state.log.write(
+                    "store.history-lost", prefix=prefix, after=replica.horizon, era=era
+                )
                 return _WatchOutcome.HISTORY_LOST
             case directory_events.StoreUnavailable(reason=reason):
                 self._state.metrics.store_calls.labels(reason).inc()
                 return _WatchOutcome.FAILED
 
+    def _log_listing(self, prefix: str, listing: store_replica.StoreListing) -> None:
+        """Writes a line on a listing, and one for each item that it has in an older form."""
+        known = self.replicas[prefix].items()
+        self._state.metrics.store_era.set(listing.era)
+        self._state.log.write(
+            "store.listed",
+            prefix=prefix,
+            era=listing.era,
+            revision=listing.revision,
+            items=len(listing.items),
+            horizon=self.replicas[prefix].horizon,
+        )
+        for item in listing.items:
+            kept = known.get(item.key)
+            if kept is not None and kept.revision >= item.revision and kept.value != item.value:
+                self._state.log.write(
+                    "item.kept", key=item.key, revision=item.revision, kept=kept.revision
+                )
+
     def _record_answer(self, prefix: str) -> None:
         contact = self._contacts[prefix]
         now_ms = self._state.clock.now_ms()
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -28,6 +28,7 @@
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
+    store_era: prometheus_client.Gauge = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -87,6 +88,11 @@
         self.store_calls = counter(
             "sesamehold_store_calls_total", "Calls to the store.", ["outcome"], registry=registry
         )
+        self.store_era = prometheus_client.Gauge(
+            "sesamehold_store_era",
+            "Number of returns from an older copy that the store states.",
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/gateway/store_replica.py
+++ b/src/sesamehold/process/gateway/store_replica.py
@@ -32,10 +32,13 @@
     Attributes:
         items: All items of a listing, or the changed items of a watch.
         revision: Store revision after which changes may be missing.
+        era: Number of times that the store has returned from an older copy. Revisions of different
+            eras cannot be compared, because a store that returns gives revisions out again.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
