Show that changes are missed when the store returns from an older copy

The stand-in of the store returns from a copy: its era rises, revisions go back and are given out again, and a watch after one that it does not have gets 410. On the current code a route, a target that drains and a target that starts again are not seen after the return if their revision was given out before it, and the store is listed about 1,000 times a second.

--- a/testing/platform/test_directory.py
+++ b/testing/platform/test_directory.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 import platform_stand_in as stand_in
 import pytest
 
@@ -161,3 +162,179 @@
             assert len(site.store.calls) - calls <= 3
 
     stand_in.run(main)
+
+
+def _view(gateway: daemon.GatewayDaemon) -> tuple[frozenset[str], frozenset[str]]:
+    """Returns the names of the routes in force and of the targets that may be used."""
+    table = gateway.state.table
+    groups = () if table is None else table.routes_by_host.values()
+    return frozenset(route.name for group in groups for route in group), frozenset(_usable(gateway))
+
+
+def _add_route(site: stand_in.GatewayEnvironment, name: str) -> None:
+    site.routes = [*site.routes, stand_in.route(name, "idempotent")]
+    site.publish()
+
+
+@attrs.frozen
+class _Return:
+    """Return of the store from a copy that was taken before `lost` was written.
+
+    Attributes:
+        lost: Changes that the store acknowledges and loses.
+        written: Changes after the return.
+        routes: Routes that must be in force at the end.
+        usable: Targets that must be usable at the end.
+    """
+
+    lost: Callable[[stand_in.GatewayEnvironment], None] = lambda site: None
+    written: Callable[[stand_in.GatewayEnvironment], None] = lambda site: None
+    routes: frozenset[str] = frozenset({"svc"})
+    usable: frozenset[str] = frozenset({"i-0", "i-1"})
+
+    @property
+    def view(self) -> tuple[frozenset[str], frozenset[str]]:
+        return self.routes, self.usable
+
+
+async def _return_store(
+    site: stand_in.GatewayEnvironment, gateway: daemon.GatewayDaemon, case: _Return
+) -> None:
+    await _wait_until(lambda: len(_usable(gateway)) == 2)
+    copy = site.store.copy()
+    case.lost(site)
+    site.store.put("op/evacuate/z8", {})
+    await _wait_until(lambda: "z8" in gateway.state.directory.zones_out)
+    site.store.failing = 503
+    await asyncio.sleep(0.1)
+    site.store.restore(copy)
+    site.store.failing = None
+
+
+def _publish_again_and_add(site: stand_in.GatewayEnvironment) -> None:
+    site.version -= 1
+    site.publish()
+    _add_route(site, "third")
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(
+            _Return(
+                lost=lambda site: _add_route(site, "second"),
+                written=_publish_again_and_add,
+                routes=frozenset({"svc", "second", "third"}),
+            ),
+            id="route-added",
+        ),
+        pytest.param(
+            _Return(
+                lost=lambda site: _add_route(site, "second"),
+                written=lambda site: _add_route(site, "third"),
+                routes=frozenset({"svc", "second", "third"}),
+            ),
+            id="route-added-at-the-revision-of-a-lost-one",
+        ),
+        pytest.param(
+            _Return(
+                written=lambda site: site.register("i-0", "svc", state="draining"),
+                usable=frozenset({"i-1"}),
+            ),
+            id="target-drains",
+        ),
+        pytest.param(
+            _Return(
+                lost=lambda site: site.store.delete("servers/i-0"),
+                written=lambda site: site.register("i-0", "svc", born=2),
+            ),
+            id="target-starts-again",
+        ),
+        pytest.param(
+            _Return(
+                lost=lambda site: site.store.put("op/evacuate/z1", {}),
+                written=lambda site: site.store.put("op/evacuate/z1", {}),
+                usable=frozenset(),
+            ),
+            id="zone-out",
+        ),
+    ],
+)
+def test_change_after_the_store_returned_from_an_older_copy_is_in_force(case: _Return) -> None:
+    """Guards against changes that are skipped because their revisions were given out before."""
+
+    async def main() -> None:
+        site = _site()
+        async with site:
+            gateway = await site.start_gateway()
+            await _return_store(site, gateway, case)
+            case.written(site)
+            await _wait_until(lambda: _view(gateway) == case.view, 1.5)
+            await asyncio.sleep(0.5)
+            assert _view(gateway) == case.view
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(
+            _Return(
+                lost=lambda site: _add_route(site, "second"),
+                routes=frozenset({"svc", "second"}),
+            ),
+            id="route-added",
+        ),
+        pytest.param(
+            _Return(
+                lost=lambda site: site.register("i-0", "svc", state="draining"),
+                usable=frozenset({"i-1"}),
+            ),
+            id="target-drains",
+        ),
+        pytest.param(
+            _Return(lost=lambda site: site.store.delete("servers/i-0"), usable=frozenset({"i-1"})),
+            id="target-left",
+        ),
+        pytest.param(
+            _Return(lost=lambda site: site.store.put("op/evacuate/z1", {}), usable=frozenset()),
+            id="zone-out",
+        ),
+    ],
+)
+def test_older_copy_of_the_store_takes_nothing_back(case: _Return) -> None:
+    """Guards against a lost change that is undone before it is written again."""
+
+    async def main() -> None:
+        site = _site()
+        async with site:
+            gateway = await site.start_gateway()
+            await _return_store(site, gateway, case)
+            for _ in range(15):
+                await asyncio.sleep(0.1)
+                assert _view(gateway) == case.view
+
+    stand_in.run(main)
+
+
+def test_store_that_returned_from_an_older_copy_is_listed_once() -> None:
+    """Guards against a host that lists the store again and again after its return."""
+
+    async def main() -> None:
+        site = _site()
+        async with site:
+            gateway = await site.start_gateway()
+            copy = site.store.copy()
+            site.store.put("op/evacuate/z8", {})
+            await _wait_until(lambda: "z8" in gateway.state.directory.zones_out)
+            site.store.calls.clear()
+            # A watch that ends without a change is followed by the next one without a delay.
+            await _wait_until(lambda: site.store.calls.count("watch") == 2, 4.0)
+            site.store.restore(copy)
+            site.store.calls.clear()
+            await asyncio.sleep(1.0)
+            assert site.store.calls.count("range") == 1
+            assert len(site.store.calls) <= 3
+
+    stand_in.run(main)
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -52,15 +52,20 @@
             return port
 
 
+StoreCopy = tuple[int, dict[str, tuple[int, bytes | None]]]
+
+
 class StoreStandIn:
     """Fake key-value store with range reads and watches.
 
-    While `failing` is set, every call is answered with that status.
+    While `failing` is set, every call is answered with that status. `restore` lets the store return
+    from an older copy, which loses all changes since the copy and gives their revisions out again.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, tuple[int, bytes | None]] = {}
         self.revision = 1
+        self.era = 1
         self.failing: int | None = None
         self.compacted_below = 0
         self.page_size = 500
@@ -75,9 +80,21 @@
     def delete(self, key: str) -> None:
         self._set(key, None)
 
+    def copy(self) -> StoreCopy:
+        return self.revision, dict(self.items)
+
+    def restore(self, copy: StoreCopy) -> None:
+        self.era += 1
+        self.revision, items = copy
+        self.items = dict(items)
+        self._wake_watches()
+
     def _set(self, key: str, data: bytes | None) -> None:
         self.revision += 1
         self.items[key] = (self.revision, data)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -101,7 +118,7 @@
     async def _range(self, request: web.Request) -> web.Response:
         self.calls.append("range")
         if self.failing is not None:
-            return web.Response(status=self.failing)
+            return self._status(self.failing)
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(
             key
@@ -109,7 +126,7 @@
             if key.startswith(prefix) and key > after and data is not None
         )
         page = [self._entry(key) for key in keys[: self.page_size]]
-        return web.json_response(
+        return self._document(
             {
                 "items": page,
                 "truncated": len(keys) > self.page_size,
@@ -121,18 +138,31 @@
         self.calls.append("watch")
         prefix, after = request.query["prefix"], int(request.query["after"])
         wait_s = int(request.query["waitMs"]) / 1_000
+        era = self.era
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while self.failing is None and not self._events(prefix, after):
+                while self.failing is None and not self._has_answer(prefix, after, era):
                     await self.changed.wait()
-        if self.failing is not None:
-            return web.Response(status=self.failing)
-        if after < self.compacted_below:
-            return web.Response(status=410)
-        return web.json_response(
+        if self.failing is not None or self.era != era:
+            return self._status(self.failing or 503)
+        if after < self.compacted_below or after > self.revision:
+            return self._status(410)
+        return self._document(
             {"events": self._events(prefix, after), "storeRevision": self.revision}
         )
 
+    def _has_answer(self, prefix: str, after: int, era: int) -> bool:
+        return self.era != era or after > self.revision or bool(self._events(prefix, after))
+
+    def _status(self, status: int) -> web.Response:
+        return web.Response(status=status, headers=self._headers())
+
+    def _document(self, document: dict[str, Any]) -> web.Response:
+        return web.json_response(document, headers=self._headers())
+
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
+
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             self._entry(key)
