Order what hosts know of the store by era and revision

The store was asked ten times as often as else.

Cause: the replica, its horizon, its tombstones and what hosts tell each other were ordered by the revision alone. A store that returns gives revisions out again, so a change counted as known, and the watch after the lost revision got 410 until the store had reached it again. The class of fault: an order that holds within one numbering, used across two.

Ruled out: that the operator had not written again.

Now a position is an era and a revision. An answer of a higher era makes a host list once; one of a lower era is dropped, also between hosts, and an answer to a watch that was sent in another era is not merged. Since the first listing of an era may be older than what the host knows, a form that is not known to be newer waits: until its key is written in the era, or until a call that was sent after the time to write again was answered. Versions of the configuration, starts of targets and their shutdown tell the age by their content. Repeated listings against a lost history wait.

The Hypothesis test over orders of writes, returns, answers, fetches and starts fails if a new form is always applied, or if the horizon only rises. A test shows that a watch of the era before, answered after another host told of the new one, would lose changes.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -229,7 +229,7 @@
         channel = grpc_client.Channel(parsed.ip, parsed.port)
         request = gateway_pb2.ReplicaRequest()
         for prefix, replica in self._watcher.replicas.items():
-            request.parts.add(prefix=prefix, horizon=replica.horizon)
+            request.parts.add(prefix=prefix, horizon=replica.horizon.number)
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reply = await gateway_grpc.GatewayStub(channel).FetchReplica(request)
--- a/src/sesamehold/connection/gateway/peer_service.py
+++ b/src/sesamehold/connection/gateway/peer_service.py
@@ -116,43 +116,48 @@
 def replica_reply(
     watcher: directory_watcher.DirectoryWatcher, known: Any
 ) -> gateway_pb2.ReplicaReply:
-    """Returns the items that changed after the revisions that the requesting host has.
+    """Returns the items that changed after the positions that the requesting host has.
 
     Args:
         watcher: Store replicas of this host.
-        known: Prefixes of the requesting host, each with its horizon: the store revision up to
-            which that host has all changes.
+        known: Prefixes of the requesting host, each with its horizon: the position in the store's
+            history up to which that host has all changes.
     """
     reply = gateway_pb2.ReplicaReply()
     for part in known:
         replica = watcher.replicas.get(part.prefix)
-        if replica is not None and replica.horizon > part.horizon:
-            reply.parts.append(update_to_wire(part.prefix, replica.update_since(part.horizon)))
+        horizon = store_replica.StorePosition.from_number(part.horizon)
+        if replica is not None and replica.horizon > horizon:
+            reply.parts.append(update_to_wire(part.prefix, replica.update_since(horizon)))
     return reply
 
 
 def update_to_wire(prefix: str, update: store_replica.ReplicaUpdate) -> gateway_pb2.ReplicaPart:
     """Encodes an update of one prefix."""
     wire = gateway_pb2.ReplicaPart(
-        prefix=prefix, horizon=update.horizon, is_listing=update.is_listing
+        prefix=prefix, horizon=update.horizon.number, is_listing=update.is_listing
     )
     for item in update.items:
         wire.items.add(
             key=item.key,
             value=item.value or b"",
             deleted=item.value is None,
-            revision=item.revision,
+            revision=item.position.number,
         )
     return wire
 
 
 def update_from_wire(part: gateway_pb2.ReplicaPart) -> store_replica.ReplicaUpdate:
     """Decodes an update of one prefix."""
-    items = tuple(
-        store_replica.StoreItem(item.key, None if item.deleted else item.value, item.revision)
-        for item in part.items
-    )
-    return store_replica.ReplicaUpdate(items, part.horizon, part.is_listing)
+    horizon = store_replica.StorePosition.from_number(part.horizon)
+    items = tuple(_item_from_wire(item) for item in part.items)
+    return store_replica.ReplicaUpdate(items, horizon, part.is_listing)
+
+
+def _item_from_wire(item: gateway_pb2.ReplicaItem) -> store_replica.StoreItem:
+    position = store_replica.StorePosition.from_number(item.revision)
+    value = None if item.deleted else item.value
+    return store_replica.StoreItem(item.key, value, position.revision, position.era)
 
 
 def apply_reply(
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -71,10 +71,12 @@
         """Reads all pages of items under a prefix.
 
         Pages are read sequentially, so changes made after the first page was read may be missing;
-        the listing therefore carries the lowest revision of its pages.
+        the listing therefore carries the lowest revision of its pages. Pages of different eras are
+        no listing.
         """
         items: list[store_replica.StoreItem] = []
         revision: int | None = None
+        era: int | None = None
         parameters = {"prefix": prefix}
         while True:
             match await self._get(names.STORE_RANGE_PATH, parameters, READ_TIMEOUT_S):
@@ -84,15 +86,18 @@
                     return Error(unavailable)
             if document is None:
                 return Error(directory_events.StoreUnavailable(f"status {_STATUS_GONE}"))
+            if era is not None and era != answer.era:
+                return Error(directory_events.StoreUnavailable("era changed between pages"))
+            era = answer.era
             try:
-                page = [_decode_item(entry) for entry in document["items"]]
-                page_revision = int(document["storeRevision"])
+                page = [_decode_item(entry, era) for entry in document["items"]]
+                page_revision = _decode_position(era, document["storeRevision"]).revision
             except _DECODE_ERRORS as error:
                 return Error(_malformed_answer(error))
             revision = page_revision if revision is None else min(revision, page_revision)
             items += page
             if not document.get("truncated") or not page:
-                return Ok(store_replica.StoreListing(tuple(items), revision, answer.era))
+                return Ok(store_replica.StoreListing(tuple(items), revision, era))
             parameters = {"prefix": prefix, "after": page[-1].key}
 
     async def watch(
@@ -116,8 +121,8 @@
         if document is None:
             return Error(directory_events.HistoryLost(answer.era))
         try:
-            items = tuple(_decode_item(entry) for entry in document["events"])
-            revision = int(document["storeRevision"])
+            items = tuple(_decode_item(entry, answer.era) for entry in document["events"])
+            revision = _decode_position(answer.era, document["storeRevision"]).revision
         except _DECODE_ERRORS as error:
             return Error(_malformed_answer(error))
         return Ok(store_replica.StoreListing(items, revision, answer.era))
@@ -133,7 +138,7 @@
                 if response.status not in (200, _STATUS_GONE):
                     reason = f"status {response.status}"
                     return Error(directory_events.StoreUnavailable(reason))
-                era = int(response.headers.get(names.STORE_ERA, "0"))
+                era = _decode_position(response.headers.get(names.STORE_ERA, "0"), 0).era
                 if response.status == _STATUS_GONE:
                     return Ok(_Answer(era, None))
                 document = json.loads(await response.read())
@@ -153,12 +158,17 @@
     return directory_events.StoreUnavailable(f"malformed answer: {type(error).__name__}")
 
 
-def _decode_item(entry: dict[str, Any]) -> store_replica.StoreItem:
+def _decode_position(era: Any, revision: Any) -> store_replica.StorePosition:
+    """Decodes a position; raises ValueError or TypeError if it is out of range or no number."""
+    return store_replica.StorePosition(int(era), int(revision))
+
+
+def _decode_item(entry: dict[str, Any], era: int) -> store_replica.StoreItem:
     key = entry["key"]
-    revision = int(entry["revision"])
+    revision = _decode_position(era, entry["revision"]).revision
     if entry.get("tombstone"):
-        return store_replica.StoreItem(key, None, revision)
-    return store_replica.StoreItem(key, _decode_value(entry["value"]), revision)
+        return store_replica.StoreItem(key, None, revision, era)
+    return store_replica.StoreItem(key, _decode_value(entry["value"]), revision, era)
 
 
 def _decode_value(text: str) -> bytes:
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from sesamehold.process.gateway import directory_events
+from sesamehold.process.gateway import item_order
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import store_replica
 
@@ -25,16 +26,16 @@
 # The store counts as disconnected after this time without an answer, which is longer than its
 # slowest answers.
 DISCONNECTED_AFTER_MS = 700
-# Targets whose entries expired while the store was unavailable register again within two seconds
-# of its return.
-REMOVAL_GRACE_MS = 2_200
+# Targets whose entries expired while the store was unavailable register again.
+REMOVAL_GRACE_MS = store_replica.REWRITE_TIME_MS
 _MS_PER_S = 1_000
 
 
-class _WatchOutcome(enum.Enum):
-    """Outcome of one watch call."""
+class _Outcome(enum.Enum):
+    """Outcome of one listing or watch call."""
 
-    ANSWERED = "answered"
+    LISTED = "listed"
+    WATCHED = "watched"
     HISTORY_LOST = "history-lost"
     FAILED = "failed"
 
@@ -66,39 +67,51 @@
     def __attrs_post_init__(self) -> None:
         prefixes = self._source.prefixes()
         now_ms = self._state.clock.now_ms()
-        self.replicas = {prefix: store_replica.StoreReplica(prefix) for prefix in prefixes}
+        order = item_order.DirectoryItemOrder(self._source)
+        self.replicas = {prefix: store_replica.StoreReplica(prefix, order) for prefix in prefixes}
         self._contacts = {prefix: _StoreContact(now_ms) for prefix in prefixes}
 
     async def watch_prefix(self, prefix: str) -> None:
         """Lists and then watches the items below one prefix until cancelled."""
-        backoff_ms = RETRY_MIN_MS
+        failure_ms, loss_ms = RETRY_MIN_MS, 0
         listed = False
         while True:
-            if not listed:
-                listed = await self._list(prefix)
-                ok = listed
-            else:
-                outcome = await self._watch(prefix)
-                ok = outcome is not _WatchOutcome.FAILED
-                listed = outcome is not _WatchOutcome.HISTORY_LOST
-            if ok:
-                backoff_ms = RETRY_MIN_MS
-                await asyncio.sleep(self._watch_delay_ms / _MS_PER_S)
-                continue
-            self._record_failure(prefix)
-            jitter = 0.5 + self._state.rng.random()
-            await asyncio.sleep(backoff_ms * jitter / _MS_PER_S)
-            backoff_ms = min(RETRY_MAX_MS, backoff_ms * 2)
+            outcome = await (self._watch(prefix) if listed else self._list(prefix))
+            delay_ms: float = 0
+            match outcome:
+                case _Outcome.LISTED:
+                    listed = True
+                    failure_ms = RETRY_MIN_MS
+                case _Outcome.WATCHED:
+                    delay_ms = self._watch_delay_ms
+                    failure_ms, loss_ms = RETRY_MIN_MS, 0
+                case _Outcome.HISTORY_LOST:
+                    # The first listing is due at once. If the watch after it fails as well, a
+                    # listing does not help, and the next ones wait.
+                    listed = False
+                    delay_ms = loss_ms
+                    loss_ms = min(RETRY_MAX_MS, max(RETRY_MIN_MS, loss_ms * 2))
+                case _Outcome.FAILED:
+                    self._record_failure(prefix)
+                    delay_ms = failure_ms
+                    failure_ms = min(RETRY_MAX_MS, failure_ms * 2)
+            if outcome is not _Outcome.WATCHED:
+                delay_ms *= 0.5 + self._state.rng.random()
+            await asyncio.sleep(delay_ms / _MS_PER_S)
 
     def merge_from_peer(self, prefix: str, update: store_replica.ReplicaUpdate) -> None:
         """Merges items received from another host."""
         replica = self.replicas.get(prefix)
-        if replica is not None:
-            self._apply(replica.merge_update(update, self._state.clock.now_ms()))
+        if replica is None:
+            return
+        known = replica.horizon
+        changed = replica.merge_update(update, self._state.clock.now_ms())
+        self._log_new_era(prefix, known)
+        self._apply(changed)
 
     def horizons(self) -> tuple[int, ...]:
-        """Returns the revision up to which each prefix is known, in the order of the prefixes."""
-        return tuple(replica.horizon for replica in self.replicas.values())
+        """Returns the position up to which each prefix is known, in the order of the prefixes."""
+        return tuple(replica.horizon.number for replica in self.replicas.values())
 
     def is_disconnected(self, prefix: str) -> bool:
         """Returns whether the last call for a prefix failed or its last answer is too old."""
@@ -108,61 +121,138 @@
             or self._state.clock.now_ms() - contact.last_answer_ms > DISCONNECTED_AFTER_MS
         )
 
-    async def _list(self, prefix: str) -> bool:
+    async def _list(self, prefix: str) -> _Outcome:
+        replica = self.replicas[prefix]
+        sent_ms = self._state.clock.now_ms()
         match await self._source.list_items(prefix):
             case Result(tag="ok", ok=listing):
+                if listing.era < replica.horizon.era:
+                    return self._reject_earlier_era(prefix, listing.era)
                 self._record_answer(prefix)
+                known = replica.horizon
                 now_ms = self._state.clock.now_ms()
-                self._log_listing(prefix, listing)
-                self._apply(self.replicas[prefix].merge_listing(listing, now_ms))
-                return True
+                changed = replica.merge_listing(listing, now_ms)
+                self._state.log.write(
+                    "store.listed",
+                    prefix=prefix,
+                    era=listing.era,
+                    revision=listing.revision,
+                    items=len(listing.items),
+                )
+                self._log_new_era(prefix, known)
+                self._apply(changed)
+                self._settle(prefix, sent_ms)
+                return _Outcome.LISTED
             case Result(error=unavailable):
                 self._state.metrics.store_calls.labels(unavailable.reason).inc()
-                return False
+                return _Outcome.FAILED
 
-    async def _watch(self, prefix: str) -> _WatchOutcome:
+    async def _watch(self, prefix: str) -> _Outcome:
         """Waits for changes in one watch call and applies them."""
         replica = self.replicas[prefix]
-        contact_ms = self._state.config.bounds.contact_ms
-        wait_ms = max(MIN_WATCH_MS, contact_ms - RECONNECT_RESERVE_MS)
-        answer = await self._source.watch(prefix, replica.horizon, wait_ms)
+        sent_ms = self._state.clock.now_ms()
+        wait_ms = self._watch_wait_ms(prefix, sent_ms)
+        asked_era = replica.horizon.era
+        answer = await self._source.watch(prefix, replica.horizon.revision, wait_ms)
         if answer.is_ok():
-            self._record_answer(prefix)
             listing = answer.ok
+            # Meanwhile another host may have told of a new era.
+            if not listing.era == asked_era == replica.horizon.era:
+                return self._on_other_era(prefix, listing.era)
+            self._record_answer(prefix)
             delay_ms = int(self._state.config.bounds.change_ms * CHANGE_DELAY_FRACTION)
             self._watch_delay_ms = delay_ms if listing.items else 0
             now_ms = self._state.clock.now_ms()
-            self._apply(replica.merge_changes(listing.items, listing.revision, now_ms))
-            return _WatchOutcome.ANSWERED
+            changed = replica.merge_changes(
+                listing.items, listing.revision, now_ms, era=listing.era
+            )
+            self._apply(changed)
+            self._settle(prefix, sent_ms)
+            return _Outcome.WATCHED
         match answer.error:
             case directory_events.HistoryLost(era=era):
-                self._record_answer(prefix)
-                self._state.log.write(
-                    "store.history-lost", prefix=prefix, after=replica.horizon, era=era
-                )
-                return _WatchOutcome.HISTORY_LOST
+                return self._on_other_era(prefix, era)
             case directory_events.StoreUnavailable(reason=reason):
                 self._state.metrics.store_calls.labels(reason).inc()
-                return _WatchOutcome.FAILED
+                return _Outcome.FAILED
 
-    def _log_listing(self, prefix: str, listing: store_replica.StoreListing) -> None:
-        """Writes a line on a listing, and one for each item that it has in an older form."""
-        known = self.replicas[prefix].items()
-        self._state.metrics.store_era.set(listing.era)
+    def _watch_wait_ms(self, prefix: str, now_ms: int) -> int:
+        """Returns how long a watch may wait, at least 1.
+
+        After a failure the store may have returned from an older copy, in which a watch after the
+        known revision waits like any other; so the first answer has to come at once. Pending items
+        are settled by a call that is sent when they are due.
+        """
+        if self._contacts[prefix].disconnected:
+            return 1
+        contact_ms = self._state.config.bounds.contact_ms
+        wait_ms = max(MIN_WATCH_MS, contact_ms - RECONNECT_RESERVE_MS)
+        due_ms = self.replicas[prefix].next_settle_ms()
+        return wait_ms if due_ms is None else max(1, min(wait_ms, due_ms - now_ms))
+
+    def _on_other_era(self, prefix: str, era: int) -> _Outcome:
+        """Handles the answer to a watch whose numbering is not the one that was asked for."""
+        known = self.replicas[prefix].horizon
+        if era < known.era:
+            return self._reject_earlier_era(prefix, era)
+        self._record_answer(prefix)
         self._state.log.write(
-            "store.listed",
+            "store.history-lost",
             prefix=prefix,
-            era=listing.era,
-            revision=listing.revision,
-            items=len(listing.items),
-            horizon=self.replicas[prefix].horizon,
+            after=known.revision,
+            era=era,
+            known_era=known.era,
         )
-        for item in listing.items:
-            kept = known.get(item.key)
-            if kept is not None and kept.revision >= item.revision and kept.value != item.value:
-                self._state.log.write(
-                    "item.kept", key=item.key, revision=item.revision, kept=kept.revision
-                )
+        return _Outcome.HISTORY_LOST
+
+    def _reject_earlier_era(self, prefix: str, era: int) -> _Outcome:
+        known_era = self.replicas[prefix].horizon.era
+        self._state.metrics.store_calls.labels("earlier era").inc()
+        self._state.log.write("store.earlier-era", prefix=prefix, era=era, known_era=known_era)
+        return _Outcome.FAILED
+
+    def _log_new_era(self, prefix: str, known: store_replica.StorePosition) -> None:
+        """Writes a line if an era has begun, and one for each item of it that is not applied.
+
+        Args:
+            prefix: Prefix of the items.
+            known: Horizon before the items were merged.
+        """
+        replica = self.replicas[prefix]
+        if replica.horizon.era == known.era:
+            return
+        log = self._state.log
+        self._state.metrics.store_era.set(replica.horizon.era)
+        log.write(
+            "store.era-begun",
+            prefix=prefix,
+            era=replica.horizon.era,
+            revision=replica.horizon.revision,
+            known_era=known.era,
+            known_revision=known.revision,
+            kept=len(replica.pending()),
+        )
+        for key, pending in replica.pending().items():
+            kept = replica.items()[key]
+            log.write(
+                "item.kept",
+                key=key,
+                missing=pending.item.value is None,
+                revision=pending.item.revision,
+                kept_era=kept.era,
+                kept_revision=kept.revision,
+                until_written=pending.until_ms is None,
+            )
+
+    def _settle(self, prefix: str, sent_ms: int) -> None:
+        """Applies pending items that were due when a call was sent."""
+        now_ms = self._state.clock.now_ms()
+        due = self.replicas[prefix].settle(sent_ms, now_ms)
+        for item in due:
+            self._state.log.write(
+                "item.settled", key=item.key, missing=item.value is None, revision=item.revision
+            )
+        self._apply(due)
 
     def _record_answer(self, prefix: str) -> None:
         contact = self._contacts[prefix]
@@ -181,7 +271,7 @@
         if not contact.disconnected:
             contact.disconnected = True
             self._state.log.write(
-                "store.lost", prefix=prefix, horizon=self.replicas[prefix].horizon
+                "store.lost", prefix=prefix, horizon=self.replicas[prefix].horizon.revision
             )
 
     # ---- applying changes ----------------------------------------------------------------------
@@ -204,7 +294,12 @@
                     log.write("configuration.older", version=table.version, kept=known.version)
                     return
                 state.table = table
-                log.write("configuration.in-force", version=table.version, revision=item.revision)
+                log.write(
+                    "configuration.in-force",
+                    version=table.version,
+                    revision=item.revision,
+                    era=item.era,
+                )
             case directory_events.TargetPublished(target=target):
                 removal = self._pending_removals.pop(target.target_id, None)
                 if removal is not None:
--- a/src/sesamehold/process/gateway/hosts.py
+++ b/src/sesamehold/process/gateway/hosts.py
@@ -43,7 +43,8 @@
         beat: Heartbeat counter since its start.
         zone: Availability zone.
         leaving: Whether the host is in a graceful shutdown.
-        horizons: Store revision up to which the host knows all changes, one for each prefix.
+        horizons: Position in the store's history up to which the host knows all changes, as a
+            number, one for each prefix; 0 if nothing is known.
         core_count: Processor capacity in cores.
     """
 
@@ -194,7 +195,7 @@
         return sorted({self.local.address, *self._known, *self._seeds})
 
     def horizons(self, now_ms: int) -> dict[str, tuple[int, ...]]:
-        """Returns the store revisions that the other live hosts know, by address."""
+        """Returns the horizons of the other live hosts, by address."""
         return {
             address: known.beat.horizons
             for address, known in self._known.items()
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -138,6 +138,7 @@
         "process/gateway/target_restrictions.py",
         "process/gateway/directory_events.py",
         "process/gateway/hosts.py",
+        "process/gateway/item_order.py",
         "process/gateway/retry_budget.py",
         "process/gateway/route_latency.py",
         "process/gateway/settings.py",
