--- a/testing/platform/test_directory.py
+++ b/testing/platform/test_directory.py
@@ -330,6 +330,20 @@
     stand_in.run(main)
 
 
+def test_lost_change_that_nobody_writes_again_is_undone_in_time() -> None:
+    """Guards against a zone that stays out of service although the store does not say so."""
+
+    async def main() -> None:
+        site = _site()
+        async with site:
+            gateway = await site.start_gateway()
+            case = _Return(lost=lambda site: site.store.put("op/evacuate/z1", {}))
+            await _return_store(site, gateway, case)
+            await _wait_until(lambda: _view(gateway) == case.view, 6.0)
+
+    stand_in.run(main)
+
+
 def test_store_that_returned_from_an_older_copy_is_listed_once() -> None:
     """Guards against a host that lists the store again and again after its return."""
 
