Show what one odd entry of another writer costs, with failing tests

What was ruled out for entries: nesting of 200,000 levels is an error that the decoder catches, and no entry ends the process: an error ends one task, not the process. The stand-in of the store can now send any JSON text as an entry.

--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -120,6 +120,8 @@
     ("header", "value"),
     [
         pytest.param(b"Deadline-Remaining", b"soon", id="deadline"),
+        pytest.param(b"Deadline-Remaining", b"1e999", id="deadline-too-large"),
+        pytest.param(b"Deadline-Remaining", b"nan", id="deadline-not-a-number"),
         pytest.param(b"Token-Counts", b"a,b", id="tokens"),
         pytest.param(b"Pieces", b"x", id="pieces"),
         pytest.param(b"Last-Event-Id", b"-", id="last-event"),
--- a/testing/platform/test_published.py
+++ b/testing/platform/test_published.py
@@ -212,6 +212,7 @@
         pytest.param("nodeName = ", "not TOML", id="not-toml"),
         pytest.param(BOOT.replace("[7740, 7755]", "[]"), "malformed", id="no-port"),
         pytest.param(BOOT.replace('zone = "hcm-a"', ""), "zone", id="field-missing"),
+        pytest.param(BOOT.replace("graceS = 8", "graceS = inf"), "malformed", id="infinite"),
     ],
 )
 def test_invalid_settings_file_is_rejected_with_a_reason(text: str, part: str) -> None:
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -55,11 +55,13 @@
 class StoreStandIn:
     """Fake key-value store with range reads and watches.
 
-    While `failing` is set, every call is answered with that status.
+    While `failing` is set, every call is answered with that status. An entry in `raw_entries`
+    replaces the JSON text of its key in answers.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, tuple[int, bytes | None]] = {}
+        self.raw_entries: dict[str, str] = {}
         self.revision = 1
         self.failing: int | None = None
         self.compacted_below = 0
@@ -72,6 +74,11 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._set(key, data)
 
+    def put_raw(self, key: str, text: str) -> None:
+        """Stores an entry that is sent as this JSON text, which may be anything."""
+        self.raw_entries[key] = text
+        self._set(key, b"")
+
     def delete(self, key: str) -> None:
         self._set(key, None)
 
@@ -91,13 +98,21 @@
         await web.TCPSite(runner, address.ip, address.port).start()
         return runner
 
-    def _entry(self, key: str) -> dict[str, Any]:
+    def _entry(self, key: str) -> Any:
+        if key in self.raw_entries:
+            return f"raw {key}"
         revision, data = self.items[key]
         if data is None:
             return {"key": key, "revision": revision, "tombstone": True}
         value = base64.b64encode(data).decode()
         return {"key": key, "value": value, "revision": revision, "created": 1, "lease": 0}
 
+    def _answer(self, document: dict[str, Any]) -> web.Response:
+        text = json.dumps(document)
+        for key, raw in self.raw_entries.items():
+            text = text.replace(json.dumps(f"raw {key}"), raw)
+        return web.Response(text=text, content_type="application/json")
+
     async def _range(self, request: web.Request) -> web.Response:
         self.calls.append("range")
         if self.failing is not None:
@@ -109,7 +124,7 @@
             if key.startswith(prefix) and key > after and data is not None
         )
         page = [self._entry(key) for key in keys[: self.page_size]]
-        return web.json_response(
+        return self._answer(
             {
                 "items": page,
                 "truncated": len(keys) > self.page_size,
@@ -129,11 +144,9 @@
             return web.Response(status=self.failing)
         if after < self.compacted_below:
             return web.Response(status=410)
-        return web.json_response(
-            {"events": self._events(prefix, after), "storeRevision": self.revision}
-        )
+        return self._answer({"events": self._events(prefix, after), "storeRevision": self.revision})
 
-    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+    def _events(self, prefix: str, after: int) -> list[Any]:
         return [
             self._entry(key)
             for key, (revision, _) in self.items.items()
