Accept only entries of targets that all later code can hold

Cause: the decoder of an entry checked types and passed on any number and text. `coldRemainingMs` of 1e999 raised OverflowError outside of the handled errors, which ended the task that watches the store: the host never became ready, or kept its old view of all targets. Other values were published as targets and broke what came later: a `born` of 400 digits or below 0 fits no message between hosts, an id with a line break ends the head of a request, and a port is taken modulo 65536 by uvloop: an open connection to port 88992 reached the process at port 23456 in a trial, so requests went to another process.

Change: an entry names a target only if its address is the IPv4 address of a host with a port from 1 to 65535, its numbers are finite and fit 64 bits (whole and not negative, except the cold time), its names are printable text of up to 200 characters and its id is visible ASCII text. Anything else withdraws the target, as for other invalid entries, with a reason of at most 200 characters. A negative cold time still means that the target is not cold.

--- a/src/sesamehold/platform/published.py
+++ b/src/sesamehold/platform/published.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
+import re
 from typing import Any
 
 import attrs
@@ -14,6 +16,14 @@
 from sesamehold.process.gateway import targets
 from sesamehold.version import routing
 
+# Largest number that the messages between hosts hold.
+MAX_NUMBER = 2**63 - 1
+# The store limits keys, which hold the names of targets and zones, to this length.
+MAX_NAME_LENGTH = 200
+MAX_REASON_LENGTH = 200
+_TARGET_ID = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
+_PORT = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65_535
 _BYTES_PER_MB = 1_000_000
 _MS_PER_S = 1_000
 
@@ -121,6 +131,21 @@
 _CONVERTER = cattrs.Converter()
 
 
+class InvalidFieldError(ValueError):
+    """A field of a published document holds what the gateway cannot hold."""
+
+
+_DECODE_ERRORS = (
+    cattrs.BaseValidationError,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
+
 def decode(
     item: store_replica.StoreItem, now_ms: int
 ) -> tuple[directory_events.DirectoryEvent, ...]:
@@ -164,43 +189,65 @@
     if item.value is None:
         return (withdrawn,)
     try:
-        document = json.loads(item.value)
-        _check_types(document)
-        wire = _CONVERTER.structure(document, _Worker)
-        draining = _DRAINING_BY_STATE[wire.state]
-    except cattrs.BaseValidationError as error:
-        reason = "; ".join(cattrs.transform_error(error)[:3])
-        return (withdrawn, directory_events.InvalidItem(item.key, reason))
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        reason = f"{type(error).__name__}: {error}"
-        return (withdrawn, directory_events.InvalidItem(item.key, reason))
-    target = targets.Target(
+        target = _decode_target(target_id, item.value, now_ms)
+    except _DECODE_ERRORS as error:
+        return (withdrawn, _invalid_item(item.key, error))
+    return (directory_events.TargetPublished(target),)
+
+
+def _decode_target(target_id: str, value: bytes, now_ms: int) -> targets.Target:
+    if not _TARGET_ID.fullmatch(target_id):
+        raise InvalidFieldError("the id is not visible ASCII text of at most 200 characters")
+    document = json.loads(value)
+    _check_target(document)
+    wire = _CONVERTER.structure(document, _Worker)
+    return targets.Target(
         target_id=target_id,
         born_ms=wire.born,
         service=wire.service,
         address=wire.address,
         zone=wire.zone,
         slots=wire.slots,
-        draining=draining,
+        draining=_DRAINING_BY_STATE[wire.state],
         cold_until_ms=now_ms + int(wire.coldRemainingMs) if wire.coldRemainingMs > 0 else 0,
     )
-    return (directory_events.TargetPublished(target),)
 
 
-def _check_types(document: Any) -> None:
+def _check_target(document: Any) -> None:
     # The converter would otherwise coerce numbers to strings and strings to numbers.
     if not isinstance(document, dict):
-        raise TypeError("not an object")
+        raise InvalidFieldError("not an object")
     for name in ("service", "address", "zone", "state"):
-        if not isinstance(document.get(name), str):
-            raise TypeError(f"{name} is not a string")
+        text = document.get(name)
+        if not isinstance(text, str) or not text.isprintable() or len(text) > MAX_NAME_LENGTH:
+            raise InvalidFieldError(f"{name} is not printable text of at most 200 characters")
     for name in ("slots", "coldRemainingMs", "born"):
-        value = document.get(name, 0)
-        if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise TypeError(f"{name} is not a number")
-    ip, separator, port = document["address"].rpartition(":")
-    if not separator or not ip or not port.isdigit():
-        raise ValueError("address is not ip:port")
+        number = document.get(name, 0)
+        if isinstance(number, bool) or not isinstance(number, (int, float)):
+            raise InvalidFieldError(f"{name} is not a number")
+        # Also excludes NaN, which compares as False.
+        if not -MAX_NUMBER <= number <= MAX_NUMBER:
+            raise InvalidFieldError(f"{name} is out of range")
+        if name != "coldRemainingMs" and (number < 0 or number != int(number)):
+            raise InvalidFieldError(f"{name} is not a whole number of at least 0")
+    _check_address(document["address"])
+
+
+def _check_address(text: str) -> None:
+    ip_text, _, port = text.rpartition(":")
+    ip = ipaddress.IPv4Address(ip_text)
+    if ip.is_unspecified or ip.is_multicast:
+        raise InvalidFieldError("the IP address is not that of a host")
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+        raise InvalidFieldError("the port is not a number from 1 to 65535")
+
+
+def _invalid_item(key: str, error: Exception) -> directory_events.InvalidItem:
+    if isinstance(error, cattrs.BaseValidationError):
+        reason = "; ".join(cattrs.transform_error(error)[:3])
+    else:
+        reason = f"{type(error).__name__}: {error}"
+    return directory_events.InvalidItem(key[:MAX_NAME_LENGTH], reason[:MAX_REASON_LENGTH])
 
 
 def _to_routing_table(wire: _Configuration) -> routing.RoutingTable:
