Keep an odd entry of the store from costing the whole answer

Cause: a listing or a watch was decoded as a whole. A `revision` of 1e999 raised OverflowError and ended the watch; a revision, value or key that is missing or of another type, a value with a lone surrogate, or a number of 5,000 digits made the whole answer malformed, so that the host asked again for ever. An item that raised while it was applied took the items after it along, which the replica held already and so never applied. A page of a listing without a readable key ended the listing, and the items after it counted as deleted.

Change: each entry is decoded alone. One without a readable key is reported and left out; one whose revision cannot be read stands in the replica at the revision of the answer without its value, so a target is withdrawn and an evacuation stays in force; a value that cannot be read is empty. A listing that cannot go on after a page is unavailable. An item that raises unexpectedly is reported and the next one is applied. `item.unreadable` has a `kind`, and `sesamehold_invalid_items_total` counts by it; the number of lines a second is limited as for all events. An answer that is no JSON at all, also for deep nesting outside of a value, is malformed as a whole as before.

--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
+import math
 from typing import Any
 
 import aiohttp
@@ -25,6 +25,9 @@
 WATCH_TIMEOUT_S = 0.7
 _MS_PER_S = 1_000
 _STATUS_GONE = 410
+# Longer numbers are no revision; converting them takes long, or fails for the whole answer.
+_MAX_DIGITS = 20
+_MAX_LOGGED_KEY = 200
 
 
 @attrs.define(eq=False)
@@ -66,6 +69,7 @@
         the listing therefore carries the lowest revision of its pages.
         """
         items: list[store_replica.StoreItem] = []
+        invalid: list[str] = []
         revision: int | None = None
         parameters = {"prefix": prefix}
         while True:
@@ -75,15 +79,18 @@
                 case Result(error=unavailable):
                     return Error(unavailable)
             try:
-                page = [_decode_item(entry) for entry in document["items"]]
-                page_revision = int(document["storeRevision"])
+                page = _decode_entries(document, "items")
             except _DECODE_ERRORS as error:
                 return Error(_malformed_answer(error))
-            revision = page_revision if revision is None else min(revision, page_revision)
-            items += page
-            if not document.get("truncated") or not page:
-                return Ok(store_replica.StoreListing(tuple(items), revision))
-            parameters = {"prefix": prefix, "after": page[-1].key}
+            revision = page.revision if revision is None else min(revision, page.revision)
+            items += page.items
+            invalid += page.invalid_entries
+            if not document.get("truncated"):
+                return Ok(store_replica.StoreListing(tuple(items), revision, tuple(invalid)))
+            if not page.items or page.items[-1].key == parameters.get("after"):
+                # The items after this page cannot be read, and must not count as deleted.
+                return Error(directory_events.StoreUnavailable("malformed answer: no next page"))
+            parameters = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: int
@@ -106,11 +113,9 @@
                     return Error(directory_events.HistoryLost())
                 return Error(unavailable)
         try:
-            items = tuple(_decode_item(entry) for entry in document["events"])
-            revision = int(document["storeRevision"])
+            return Ok(_decode_entries(document, "events"))
         except _DECODE_ERRORS as error:
             return Error(_malformed_answer(error))
-        return Ok(store_replica.StoreListing(items, revision))
 
     async def _get(
         self, path: str, parameters: dict[str, str], timeout_s: float
@@ -123,7 +128,7 @@
                 if response.status != 200:
                     reason = f"status {response.status}"
                     return Error(directory_events.StoreUnavailable(reason))
-                document = json.loads(await response.read())
+                document = json.loads(await response.read(), parse_int=_parse_int)
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
             return Error(directory_events.StoreUnavailable(type(error).__name__))
         except (ValueError, RecursionError) as error:
@@ -133,24 +138,63 @@
         return Ok(document)
 
 
-_DECODE_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+_DECODE_ERRORS = (KeyError, ValueError, TypeError)
 
 
 def _malformed_answer(error: Exception) -> directory_events.StoreUnavailable:
     return directory_events.StoreUnavailable(f"malformed answer: {type(error).__name__}")
 
 
-def _decode_item(entry: dict[str, Any]) -> store_replica.StoreItem:
+def _parse_int(text: str) -> int | float:
+    return int(text) if len(text) <= _MAX_DIGITS else math.inf
+
+
+def _decode_entries(document: dict[str, Any], name: str) -> store_replica.StoreListing:
+    """Decodes one answer; an invalid entry is reported and costs no other entry."""
+    revision = _check_revision(document["storeRevision"])
+    entries = document[name]
+    if not isinstance(entries, list):
+        raise TypeError(f"{name} is not a list")
+    items = []
+    invalid = []
+    for entry in entries:
+        try:
+            key = _decode_key(entry)
+        except _DECODE_ERRORS as error:
+            invalid.append(f"entry without a key: {type(error).__name__}")
+            continue
+        is_deleted = bool(entry.get("tombstone"))
+        try:
+            item_revision = _check_revision(entry.get("revision"))
+        except ValueError:
+            # The entry exists in this answer, but its value may be of any earlier time.
+            invalid.append(f"entry without a revision: {key[:_MAX_LOGGED_KEY]}")
+            value = None if is_deleted else b""
+            items.append(store_replica.StoreItem(key, value, revision))
+            continue
+        value = None if is_deleted else _decode_value(entry.get("value"))
+        items.append(store_replica.StoreItem(key, value, item_revision))
+    return store_replica.StoreListing(tuple(items), revision, tuple(invalid))
+
+
+def _decode_key(entry: Any) -> str:
     key = entry["key"]
-    revision = int(entry["revision"])
-    if entry.get("tombstone"):
-        return store_replica.StoreItem(key, None, revision)
-    return store_replica.StoreItem(key, _decode_value(entry["value"]), revision)
+    if not isinstance(key, str) or not key:
+        raise TypeError("the key is not text")
+    # Raises UnicodeEncodeError for a key that neither a call nor a message can hold.
+    key.encode()
+    return key
+
+
+def _check_revision(value: Any) -> int:
+    if type(value) is not int or not 0 <= value <= published.MAX_NUMBER:
+        raise ValueError("not a revision")
+    return value
 
 
-def _decode_value(text: str) -> bytes:
+def _decode_value(text: Any) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except (ValueError, TypeError):
         # Written by an unknown writer; decoding the item reports its key as unreadable.
-        return text.encode()
+        return b""
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -28,6 +28,7 @@
 # Targets whose entries expired while the store was unavailable register again within two seconds
 # of its return.
 REMOVAL_GRACE_MS = 2_200
+MAX_REASON_LENGTH = 200
 _MS_PER_S = 1_000
 
 
@@ -112,6 +113,7 @@
         match await self._source.list_items(prefix):
             case Result(tag="ok", ok=listing):
                 self._record_answer(prefix)
+                self._report_invalid_entries(listing)
                 now_ms = self._state.clock.now_ms()
                 self._apply(self.replicas[prefix].merge_listing(listing, now_ms))
                 return True
@@ -129,7 +131,9 @@
             self._record_answer(prefix)
             listing = answer.ok
             delay_ms = int(self._state.config.bounds.change_ms * CHANGE_DELAY_FRACTION)
-            self._watch_delay_ms = delay_ms if listing.items else 0
+            has_changes = listing.items or listing.invalid_entries
+            self._watch_delay_ms = delay_ms if has_changes else 0
+            self._report_invalid_entries(listing)
             now_ms = self._state.clock.now_ms()
             self._apply(replica.merge_changes(listing.items, listing.revision, now_ms))
             return _WatchOutcome.ANSWERED
@@ -167,8 +171,23 @@
     def _apply(self, items: Iterable[store_replica.StoreItem]) -> None:
         now_ms = self._state.clock.now_ms()
         for item in items:
-            for event in self._source.decode(item, now_ms):
-                self._on_event(event, item)
+            try:
+                for event in self._source.decode(item, now_ms):
+                    self._on_event(event, item)
+            except Exception as error:  # noqa: BLE001
+                # The replica already holds the later items, so they would never be applied.
+                reason = repr(error)[:MAX_REASON_LENGTH]
+                self._report_unreadable("unexpected", reason, item.key, item.revision)
+
+    def _report_invalid_entries(self, listing: store_replica.StoreListing) -> None:
+        for reason in listing.invalid_entries:
+            self._report_unreadable("entry", reason, None, listing.revision)
+
+    def _report_unreadable(self, kind: str, reason: str, key: str | None, revision: int) -> None:
+        self._state.metrics.invalid_items.labels(kind).inc()
+        self._state.log.write(
+            "item.unreadable", kind=kind, key=key, reason=reason, revision=revision
+        )
 
     def _on_event(
         self, event: directory_events.DirectoryEvent, item: store_replica.StoreItem
@@ -205,7 +224,7 @@
                 state.directory.zones_out.discard(zone)
                 log.write("zone.back", zone=zone, revision=item.revision)
             case directory_events.InvalidItem(key=key, reason=reason):
-                log.write("item.unreadable", key=key, reason=reason, revision=item.revision)
+                self._report_unreadable("item", reason, key, item.revision)
 
     def _on_withdrawn(self, target_id: str, item: store_replica.StoreItem) -> None:
         target = self._state.directory.find(target_id)
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -28,6 +28,7 @@
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
+    invalid_items: prometheus_client.Counter = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -87,6 +88,12 @@
         self.store_calls = counter(
             "sesamehold_store_calls_total", "Calls to the store.", ["outcome"], registry=registry
         )
+        self.invalid_items = counter(
+            "sesamehold_invalid_items_total",
+            "Entries of the store that could not be decoded or applied.",
+            ["kind"],
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/gateway/store_replica.py
+++ b/src/sesamehold/process/gateway/store_replica.py
@@ -32,10 +32,12 @@
     Attributes:
         items: All items of a listing, or the changed items of a watch.
         revision: Store revision after which changes may be missing.
+        invalid_entries: Why entries could not be decoded.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
+    invalid_entries: tuple[str, ...] = ()
 
 
 @attrs.frozen
