Start background tasks of the gateway again after unexpected errors

Cause: the watch of the store, the heartbeats, the replica sync and the tick were plain tasks that nobody awaited before the end of the process. One unexpected error ended a task without a line. In the same way an error in a plan of the stages left no timer for the next plan, and an error in a stage call left the call counted as running: requests with stages got 503 at their deadline.

A failed plan is repeated after 50 ms, and a call that raised is handled as one whose outcome is not known. The drain is unchanged: it must not start again.

--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import random
 import signal
 from typing import Any
@@ -21,6 +22,7 @@
 from sesamehold.process import clock as clocks
 from sesamehold.process import listening
 from sesamehold.process import pause
+from sesamehold.process.gateway import background
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import directory_events
 from sesamehold.process.gateway import directory_watcher
@@ -108,14 +110,11 @@
         """Serves until a graceful shutdown is complete."""
         await self._fleet.start()
         await self._listen()
-        self._tasks += [
-            asyncio.create_task(self._watcher.watch_prefix(prefix))
-            for prefix in self._adapter.source.prefixes()
-        ]
-        self._tasks += [
-            asyncio.create_task(work)
-            for work in (self._tick(), self._fleet.run_heartbeats(), self._fleet.run_replica_sync())
-        ]
+        for prefix in self._adapter.source.prefixes():
+            self._start_task("watch", functools.partial(self._watcher.watch_prefix, prefix))
+        self._start_task("tick", self._tick)
+        self._start_task("heartbeats", self._fleet.run_heartbeats)
+        self._start_task("replica-sync", self._fleet.run_replica_sync)
         config = self.state.config
         self.state.log.write("process.started", host=config.host_id, zone=config.zone)
         await self._stopped.wait()
@@ -141,6 +140,10 @@
 
     # ---- tasks ---------------------------------------------------------------------------------
 
+    def _start_task(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        task = background.keep_running(name, self.state, work)
+        self._tasks.append(asyncio.create_task(task))
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -29,6 +29,7 @@
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
     invalid_items: prometheus_client.Counter = attrs.field(init=False)
+    task_failures: prometheus_client.Counter = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -94,6 +95,12 @@
             ["kind"],
             registry=registry,
         )
+        self.task_failures = counter(
+            "sesamehold_task_failures_total",
+            "Unexpected errors of background tasks, which were started again.",
+            ["task"],
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -29,6 +29,9 @@
 MAX_ANSWER_BYTES = 1_048_576
 # Results that are freed within this time share a call.
 FREE_BATCH_DELAY_S = 0.003
+# Delay of the next plan after an unexpected error.
+ERROR_DELAY_S = 0.05
+MAX_REASON_LENGTH = 200
 _MS_PER_S = 1_000
 _STATUS_OK = 200
 
@@ -141,6 +144,13 @@
 
     def _run_scheduler(self) -> None:
         self._plan_timer = None
+        try:
+            self._plan()
+        except Exception as error:  # noqa: BLE001
+            self._log_error(error)
+            self._schedule_plan(ERROR_DELAY_S)
+
+    def _plan(self) -> None:
         now_ms = self._state.clock.now_ms()
         calls: list[stage_workers.Call] = []
         if self._is_leader:
@@ -165,6 +175,11 @@
         fetch_timer = loop.call_later(INPUT_FETCH_S, self._on_inputs_read, call)
         try:
             outcome = await self._send_call(call)
+        except Exception as error:  # noqa: BLE001
+            # The scheduler counts the call as running until it gets an outcome.
+            self._log_error(error)
+            fault = stage_scheduler.CallFault("internal", may_have_run=True, reachable=False)
+            outcome = Error(fault)
         finally:
             fetch_timer.cancel()
         now_ms = self._state.clock.now_ms()
@@ -307,5 +322,9 @@
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._state.log.write("stage.error", error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._log_error(error)
+
+    def _log_error(self, error: BaseException) -> None:
+        self._state.log.write("stage.error", error=repr(error)[:MAX_REASON_LENGTH])
