Leave entries of gossip out that no host or target can have stated

Cause: the decoder checked only that a datagram is a protobuf message. The address of a host without a port, with a superscript digit as its port or with a host name stayed in the table of hosts, and the next heartbeat that chose it raised ValueError; an undefined number of cores left no candidate for the leader and raised too. An infinite or undefined rate of a target raised in every send to it. The task of the heartbeats ended silently.

Ruled out: an error in the handling of a datagram does not close the UDP endpoint of uvloop, and numbers of 64 bits pass through the tables and on to other hosts.

Change: hosts need a numeric address with a port from 1 to 65535 and a finite number of cores, statements a finite rate of at least 0 and an id of at most 200 characters. The other entries of the datagram hold. `gossip.malformed` names the source, and `sesamehold_malformed_gossip_total` counts; the count that nothing read is gone.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -53,7 +53,7 @@
     _last_reply: tuple[int, gossip.GossipMessage] | None = None
 
     def __attrs_post_init__(self) -> None:
-        self._endpoint = gossip.GossipEndpoint(self._on_message)
+        self._endpoint = gossip.GossipEndpoint(self._on_message, self._on_malformed)
         service = peer_service.GatewayPeerService(self._stages, self._watcher)
         self._server = grpc_server.Server([service])
 
@@ -136,6 +136,10 @@
         if message.wants_answer:
             self._endpoint.send([source], self._reply(now_ms))
 
+    def _on_malformed(self, entry_count: int | None, source: str) -> None:
+        self._state.metrics.malformed_gossip.inc(entry_count or 1)
+        self._state.log.write("gossip.malformed", source=source, entries=entry_count)
+
     # ---- stages --------------------------------------------------------------------------------
 
     async def run(
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
 from typing import Any
 
 import attrs
@@ -18,6 +19,7 @@
 
 # Fits the minimum MTU of IPv6 (1,280 bytes) including the IP and UDP headers.
 MAX_SIZE_BYTES = 1_200
+MAX_TARGET_ID_LENGTH = 200
 
 
 @attrs.frozen
@@ -29,12 +31,14 @@
         crash_reports: Evidence on the causes of crashes of targets.
         statements: What targets stated about themselves.
         wants_answer: Whether the receiver replies with its own entries.
+        invalid_count: Entries that were left out because no host or target can have stated them.
     """
 
     beats: tuple[hosts.HostBeat, ...]
     crash_reports: tuple[crash_attribution.TraitReport, ...] = ()
     statements: tuple[target_restrictions.StatementReport, ...] = ()
     wants_answer: bool = False
+    invalid_count: int = 0
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -73,7 +77,7 @@
 
 
 def decode(data: bytes) -> GossipMessage | None:
-    """Decodes a datagram; returns None if it is malformed."""
+    """Decodes a datagram without its invalid entries; returns None if it is malformed."""
     try:
         wire = gateway_pb2.Gossip.FromString(data)
     except protobuf_message.DecodeError:
@@ -89,6 +93,7 @@
             core_count=item.core_count,
         )
         for item in wire.hosts
+        if _is_valid_beat(item)
     )
     reports = tuple(_crash_report(item) for item in wire.crash_evidence)
     statements = tuple(
@@ -99,8 +104,27 @@
             item.age_ms,
         )
         for item in wire.target_statements
+        if _is_valid_statement(item)
+    )
+    entry_count = len(wire.hosts) + len(wire.target_statements)
+    invalid_count = entry_count - len(beats) - len(statements)
+    return GossipMessage(beats, reports, statements, wire.wants_answer, invalid_count)
+
+
+def _is_valid_beat(item: gateway_pb2.HostBeat) -> bool:
+    try:
+        listening.Address.parse_numeric(item.address)
+    except ValueError:
+        return False
+    return math.isfinite(item.core_count) and item.core_count >= 0
+
+
+def _is_valid_statement(item: gateway_pb2.TargetStatement) -> bool:
+    return (
+        len(item.target_id) <= MAX_TARGET_ID_LENGTH
+        and math.isfinite(item.max_rate_per_s)
+        and item.max_rate_per_s >= 0
     )
-    return GossipMessage(beats, reports, statements, wire.wants_answer)
 
 
 def _crash_report(item: gateway_pb2.CrashEvidence) -> crash_attribution.TraitReport:
@@ -125,10 +149,12 @@
 
     Attributes:
         on_message: Called with each well-formed message and its source address.
+        on_malformed: Called with the number of invalid entries, None for a datagram that cannot be
+            decoded, and the source address.
     """
 
     on_message: Callable[[GossipMessage, str], None]
-    malformed_count: int = 0
+    on_malformed: Callable[[int | None, str], None]
     _transport: asyncio.DatagramTransport | None = None
     _encoded: tuple[GossipMessage, bytes] | None = None
 
@@ -160,11 +186,14 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Decodes a datagram and passes it to the callback."""
+        source = f"{addr[0]}:{addr[1]}"
         message = decode(data)
         if message is None:
-            self.malformed_count += 1
+            self.on_malformed(None, source)
             return
-        self.on_message(message, f"{addr[0]}:{addr[1]}")
+        if message.invalid_count:
+            self.on_malformed(message.invalid_count, source)
+        self.on_message(message, source)
 
     def error_received(self, exc: Exception) -> None:
         """Ignores errors such as a closed port; missing heartbeats reveal a dead host."""
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -30,6 +30,7 @@
     store_calls: prometheus_client.Counter = attrs.field(init=False)
     invalid_items: prometheus_client.Counter = attrs.field(init=False)
     task_failures: prometheus_client.Counter = attrs.field(init=False)
+    malformed_gossip: prometheus_client.Counter = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -101,6 +102,11 @@
             ["task"],
             registry=registry,
         )
+        self.malformed_gossip = counter(
+            "sesamehold_malformed_gossip_total",
+            "Datagrams, and entries of datagrams, that could not be decoded.",
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/listening.py
+++ b/src/sesamehold/process/listening.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import attrs
 
+_MAX_PORT = 65_535
+
 
 @attrs.frozen
 class Address:
@@ -22,6 +26,21 @@
         ip, _, port = text.rpartition(":")
         return cls(ip.removeprefix("[").removesuffix("]"), int(port))
 
+    @classmethod
+    def parse_numeric(cls, text: str) -> Address:
+        """Parses an address from another process; raises ValueError if no socket takes it.
+
+        >>> Address.parse_numeric("127.0.0.1:65536")
+        Traceback (most recent call last):
+        ...
+        ValueError: the port is not a number from 1 to 65535
+        """
+        address = cls.parse(text)
+        ipaddress.ip_address(address.ip)
+        if not text.isascii() or not 0 < address.port <= _MAX_PORT:
+            raise ValueError("the port is not a number from 1 to 65535")
+        return address
+
     def __str__(self) -> str:
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
