Decode headers with numbers of any size

Cause: digits of any number were converted, and OverflowError of infinite numbers was not handled.

Change: a time-out is at most 9 digits and a length at most 18, else they count as absent; an infinite deadline is malformed, 400. The reason of a malformed head is at most 200 characters.

--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -67,6 +67,8 @@
 _STATUS_WRONG_TARGET = 421
 
 _RETRY_AFTER = b"retry-after"
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_SECONDS = re.compile(rb"[0-9]{1,9}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 _NO_STATEMENT = messages.TargetStatement()
 # Headers in which a worker says something about itself, with their names in the log.
@@ -78,6 +80,7 @@
 _LEAVING_VALUES = {b"1": True, b"0": False}
 # A longer wait than a day is taken for a mistake.
 _MAX_WAIT_S = 86_400.0
+_MAX_REASON_LENGTH = 200
 
 
 @attrs.frozen
@@ -94,8 +97,9 @@
             return Error(messages.MalformedHead("the request has no Request-Id"))
         try:
             return Ok(_decode_request_head(method, raw_target, headers, values, request_id))
-        except (ValueError, UnicodeDecodeError) as error:
-            return Error(messages.MalformedHead(f"a header is malformed: {error}"))
+        except (ValueError, OverflowError) as error:
+            reason = f"a header is malformed: {error}"[:_MAX_REASON_LENGTH]
+            return Error(messages.MalformedHead(reason))
 
     def encode_request_head(
         self, head: messages.RequestHead, order: messages.SendOptions, body_size_bytes: int | None
@@ -132,7 +136,7 @@
             wrong_target=status == _STATUS_WRONG_TARGET,
             load=_parse_load(values.get(names.SERVER_LOAD)),
             idle_ms=_parse_idle_ms(values.get(b"keep-alive")),
-            content_length=int(length) if length.isdigit() else None,
+            content_length=int(length) if _LENGTH.fullmatch(length) else None,
             statement=_parse_statement(status, headers),
         )
 
@@ -263,6 +267,6 @@
         return None
     for parameter in header.split(b","):
         name, _, value = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
+        if name.lower() == b"timeout" and _SECONDS.fullmatch(value.strip()):
             return int(value) * _MS_PER_S
     return None
