Decode each result of a stage call alone

Cause: an answer to a stage call with 200,000 levels of nesting raised RecursionError, which ended the handling of the call. A handle that is a number, holds a lone surrogate, a line break or a comma was taken: it breaks the message to the host that waits for it, or the header of the request. Any text as a reason became a label of a metric.

Change: a handle is visible ASCII text without a comma, at most 200 characters; a reason is one that the platform names. A result that is neither is a piece without a result, which is tried again, and the other results of the call hold.

--- a/src/sesamehold/platform/stage_calls.py
+++ b/src/sesamehold/platform/stage_calls.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 import json
+import re
 from typing import Any
 
 import attrs
@@ -12,6 +13,11 @@
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import ports
 
+# Handles are sent in a header that separates them by commas.
+_HANDLE = re.compile(r"[!-+\--~]{1,200}")
+_REASONS = frozenset({"", "late", "gone", "room", "error"})
+_MALFORMED_RESULT = ports.PieceResult(None, "malformed")
+
 
 @attrs.frozen
 class PlatformStageCalls:
@@ -24,21 +30,34 @@
         )
 
     def decode_results(self, body: bytes, piece_count: int) -> list[ports.PieceResult] | None:
-        """Decodes the results; returns None if they are malformed."""
+        """Decodes the results; returns None if they are malformed.
+
+        A single malformed result counts as a piece without a result.
+        """
         try:
             items = json.loads(body)["items"]
-            results = [
-                ports.PieceResult(item.get("handle"), item.get("reason", "")) for item in items
-            ]
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
+            return None
+        if not isinstance(items, list) or len(items) != piece_count:
             return None
-        return results if len(results) == piece_count else None
+        return [_decode_result(item) for item in items]
 
     def encode_free_call(self, target: targets.Target, handles: Sequence[str]) -> bytes:
         """Encodes the request that frees stored results."""
         return _encode_call(target, names.STAGE_FREE_PATH, {"handles": list(handles)})
 
 
+def _decode_result(item: Any) -> ports.PieceResult:
+    if not isinstance(item, dict):
+        return _MALFORMED_RESULT
+    handle, reason = item.get("handle"), item.get("reason", "")
+    if handle is None and isinstance(reason, str) and reason in _REASONS:
+        return ports.PieceResult(None, reason)
+    if isinstance(handle, str) and _HANDLE.fullmatch(handle):
+        return ports.PieceResult(handle)
+    return _MALFORMED_RESULT
+
+
 def _encode_piece(piece: ports.PieceCall) -> dict[str, Any]:
     item: dict[str, Any] = {
         "id": piece.request_id,
