Reject settings with an infinite number

Cause: OverflowError was not among the handled errors. Change: it is, and the settings are rejected with a reason.

--- a/src/sesamehold/platform/boot.py
+++ b/src/sesamehold/platform/boot.py
@@ -89,7 +89,7 @@
     except cattrs.BaseValidationError as error:
         reasons = "; ".join(cattrs.transform_error(error))
         return Error(gateway_settings.SettingsFault("$", reasons))
-    except (ValueError, IndexError) as error:
+    except (ValueError, IndexError, OverflowError) as error:
         return Error(gateway_settings.SettingsFault("$", f"is malformed: {error}"))
 
 
