Take only whole numbers as versions on the product's own path

The manifest itself is checked field by field and bounds every number and address; only a line break after the port of an address passed.

Change: a version is an integer from 0 to the largest one of a manifest, anything else a malformed value; a port is matched whole.

That the watch ends is read, not shown.

--- a/src/sesamehold/connection/platform_http.py
+++ b/src/sesamehold/connection/platform_http.py
@@ -11,7 +11,10 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.version import constraints
+
 MAX_VALUE_BYTES = 1_048_576
+MAX_VERSION = constraints.MAX_INTEGER
 READ_TIMEOUT_S = 2.0
 _MS_PER_S = 1_000
 
@@ -89,6 +92,10 @@
 def _decode(body: bytes) -> Result[PublishedValue | Unchanged, PlatformUnavailable]:
     try:
         envelope = json.loads(body)
-        return Ok(PublishedValue(int(envelope["version"]), envelope["value"]))
+        version = envelope["version"]
+        # A larger version would hide all later ones.
+        if type(version) is not int or not 0 <= version <= MAX_VERSION:
+            return Error(PlatformUnavailable("malformed value: no version"))
+        return Ok(PublishedValue(version, envelope["value"]))
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         return Error(PlatformUnavailable(f"malformed value: {type(error).__name__}"))
--- a/src/sesamehold/version/constraints.py
+++ b/src/sesamehold/version/constraints.py
@@ -28,7 +28,7 @@
 # addresses are matched by a regular expression.
 _IPV4_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _IPV4_PATTERN = re.compile(rf"{_IPV4_OCTET}(?:\.{_IPV4_OCTET}){{3}}:[1-9][0-9]{{0,4}}\Z")
-_PORT_PATTERN = re.compile(r"^[0-9]{1,5}$")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 @attrs.frozen
@@ -80,7 +80,7 @@
         return False
     if (parsed.version == 6) is not bracketed:
         return False
-    return _PORT_PATTERN.match(port) is not None and 1 <= int(port) <= MAX_PORT
+    return _PORT_PATTERN.fullmatch(port) is not None and 1 <= int(port) <= MAX_PORT
 
 
 def satisfies(constraint: Constraint, value: object) -> bool:
