Refuse requests that state more pieces than a host can plan

Cause: the number was decoded without a bound, and the pieces of a stage are planned one by one on the loop. A negative number could not be passed on to the host that runs stages.

Change: a stage has from 0 to 4,096 pieces, else the head is malformed, 400. Orders of other hosts are not bounded; they come from requests that were decoded so.

--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -81,6 +81,8 @@
 # A longer wait than a day is taken for a mistake.
 _MAX_WAIT_S = 86_400.0
 _MAX_REASON_LENGTH = 200
+# The pieces of a request are held and planned one by one on the loop that serves all requests.
+MAX_PIECES_PER_STAGE = 4_096
 
 
 @attrs.frozen
@@ -178,7 +180,7 @@
         budget_ms=None if budget is None else int(float(budget)),
         key=_parse_bearer_key(values.get(names.AUTHORIZATION)),
         prompt=_parse_prompt(values),
-        piece_counts=tuple(int(count) for count in pieces.split(b",") if count.strip()),
+        piece_counts=tuple(_parse_piece_count(item) for item in pieces.split(b",") if item.strip()),
         piece_key=values.get(names.PIECE_KEY, b"").decode("latin-1"),
         last_event_id=None if last_event is None else int(last_event),
     )
@@ -203,6 +205,13 @@
     return authorization[len(_BEARER_PREFIX) :].strip().decode("latin-1")
 
 
+def _parse_piece_count(text: bytes) -> int:
+    count = int(text)
+    if not 0 <= count <= MAX_PIECES_PER_STAGE:
+        raise ValueError(f"a stage has from 0 to {MAX_PIECES_PER_STAGE} pieces")
+    return count
+
+
 def _parse_prompt(values: dict[bytes, bytes]) -> messages.Prompt | None:
     counts = values.get(names.TOKEN_COUNTS)
     if counts is None:
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -124,6 +124,9 @@
         pytest.param(b"Deadline-Remaining", b"nan", id="deadline-not-a-number"),
         pytest.param(b"Token-Counts", b"a,b", id="tokens"),
         pytest.param(b"Pieces", b"x", id="pieces"),
+        pytest.param(b"Pieces", b"1,-1", id="pieces-negative"),
+        pytest.param(b"Pieces", b"1,4097", id="pieces-too-many"),
+        pytest.param(b"Pieces", b"9" * 5_000, id="pieces-5000-digits"),
         pytest.param(b"Last-Event-Id", b"-", id="last-event"),
     ],
 )
--- a/testing/platform/test_odd_messages.py
+++ b/testing/platform/test_odd_messages.py
@@ -42,6 +42,10 @@
 }
 
 
+async def _ok(exchange: stand_in.Exchange) -> None:
+    exchange.send(200, b"answer")
+
+
 def _beat(**changes: Any) -> gateway_pb2.Gossip:
     wire = gateway_pb2.Gossip()
     wire.hosts.add(**{**_BEAT, **changes})
@@ -287,6 +291,40 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        pytest.param("5000000", b"400", id="too-many"),
+        pytest.param("-1", b"400", id="negative"),
+        pytest.param("4096", b"503", id="more-than-the-stage-can-do-in-time"),
+    ],
+)
+def test_odd_number_of_pieces_stalls_no_other_request(pieces: str, status: bytes) -> None:
+    """Guards against one request whose pieces occupy the loop of the host."""
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        stages = [{"service": "st", "after": [], "bytes": 10}]
+        site.routes = [
+            stand_in.route("svc", "idempotent", stages=stages),
+            stand_in.route("plain", "idempotent"),
+        ]
+        site.services["st"] = {"name": "st", "pieces": stand_in.STAGE_POOL}
+        for target_id, service in (("i-0", "svc"), ("i-1", "st"), ("i-2", "plain")):
+            site.add_worker(target_id, service, _ok)
+        site.publish()
+        async with site, asyncio.timeout(6.0):
+            await site.start_gateway()
+            data = stand_in.request("/svc/x", "r1", Pieces=pieces, Piece_Key="k")
+            odd = asyncio.create_task(site.send(data))
+            await asyncio.sleep(0.02)
+            answer = await site.send(stand_in.request("/plain/x", "r2"))
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert (await odd).split()[1] == status
+
+    stand_in.run(main)
+
+
 @hypothesis.settings(max_examples=200, deadline=None, database=None)
 @hypothesis.given(
     status=strategies.integers(200, 599),
