--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
+import math
 from typing import Any
 
 import aiohttp
@@ -25,6 +25,9 @@
 WATCH_TIMEOUT_S = 0.7
 _MS_PER_S = 1_000
 _STATUS_GONE = 410
+# Longer numbers are no revision; converting them takes long, or fails for the whole answer.
+_MAX_DIGITS = 20
+_MAX_LOGGED_KEY = 200
 
 
 @attrs.frozen
@@ -75,6 +78,7 @@
         no listing.
         """
         items: list[store_replica.StoreItem] = []
+        invalid: list[str] = []
         revision: int | None = None
         era: int | None = None
         parameters = {"prefix": prefix}
@@ -90,15 +94,18 @@
                 return Error(directory_events.StoreUnavailable("era changed between pages"))
             era = answer.era
             try:
-                page = [_decode_item(entry, era) for entry in document["items"]]
-                page_revision = _decode_position(era, document["storeRevision"]).revision
+                page = _decode_entries(document, "items", era)
             except _DECODE_ERRORS as error:
                 return Error(_malformed_answer(error))
-            revision = page_revision if revision is None else min(revision, page_revision)
-            items += page
-            if not document.get("truncated") or not page:
-                return Ok(store_replica.StoreListing(tuple(items), revision, era))
-            parameters = {"prefix": prefix, "after": page[-1].key}
+            revision = page.revision if revision is None else min(revision, page.revision)
+            items += page.items
+            invalid += page.invalid_entries
+            if not document.get("truncated"):
+                return Ok(store_replica.StoreListing(tuple(items), revision, era, tuple(invalid)))
+            if not page.items or page.items[-1].key == parameters.get("after"):
+                # The items after this page cannot be read, and must not count as deleted.
+                return Error(directory_events.StoreUnavailable("malformed answer: no next page"))
+            parameters = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: int
@@ -121,11 +128,9 @@
         if document is None:
             return Error(directory_events.HistoryLost(answer.era))
         try:
-            items = tuple(_decode_item(entry, answer.era) for entry in document["events"])
-            revision = _decode_position(answer.era, document["storeRevision"]).revision
+            return Ok(_decode_entries(document, "events", answer.era))
         except _DECODE_ERRORS as error:
             return Error(_malformed_answer(error))
-        return Ok(store_replica.StoreListing(items, revision, answer.era))
 
     async def _get(
         self, path: str, parameters: dict[str, str], timeout_s: float
@@ -138,10 +143,10 @@
                 if response.status not in (200, _STATUS_GONE):
                     reason = f"status {response.status}"
                     return Error(directory_events.StoreUnavailable(reason))
-                era = _decode_position(response.headers.get(names.STORE_ERA, "0"), 0).era
+                era = _decode_era(response.headers.get(names.STORE_ERA, "0"))
                 if response.status == _STATUS_GONE:
                     return Ok(_Answer(era, None))
-                document = json.loads(await response.read())
+                document = json.loads(await response.read(), parse_int=_parse_int)
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
             return Error(directory_events.StoreUnavailable(type(error).__name__))
         except (ValueError, RecursionError) as error:
@@ -151,29 +156,69 @@
         return Ok(_Answer(era, document))
 
 
-_DECODE_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+_DECODE_ERRORS = (KeyError, ValueError, TypeError)
 
 
 def _malformed_answer(error: Exception) -> directory_events.StoreUnavailable:
     return directory_events.StoreUnavailable(f"malformed answer: {type(error).__name__}")
 
 
-def _decode_position(era: Any, revision: Any) -> store_replica.StorePosition:
-    """Decodes a position; raises ValueError or TypeError if it is out of range or no number."""
-    return store_replica.StorePosition(int(era), int(revision))
+def _decode_era(text: str) -> int:
+    """Decodes an era; raises ValueError if it is no number or out of range."""
+    return store_replica.StorePosition(int(text), 0).era
 
 
-def _decode_item(entry: dict[str, Any], era: int) -> store_replica.StoreItem:
+def _parse_int(text: str) -> int | float:
+    return int(text) if len(text) <= _MAX_DIGITS else math.inf
+
+
+def _decode_entries(document: dict[str, Any], name: str, era: int) -> store_replica.StoreListing:
+    """Decodes one answer; an invalid entry is reported and costs no other entry."""
+    revision = _check_revision(document["storeRevision"], era)
+    entries = document[name]
+    if not isinstance(entries, list):
+        raise TypeError(f"{name} is not a list")
+    items = []
+    invalid = []
+    for entry in entries:
+        try:
+            key = _decode_key(entry)
+        except _DECODE_ERRORS as error:
+            invalid.append(f"entry without a key: {type(error).__name__}")
+            continue
+        is_deleted = bool(entry.get("tombstone"))
+        try:
+            item_revision = _check_revision(entry.get("revision"), era)
+        except ValueError:
+            # The entry exists in this answer, but its value may be of any earlier time.
+            invalid.append(f"entry without a revision: {key[:_MAX_LOGGED_KEY]}")
+            value = None if is_deleted else b""
+            items.append(store_replica.StoreItem(key, value, revision, era))
+            continue
+        value = None if is_deleted else _decode_value(entry.get("value"))
+        items.append(store_replica.StoreItem(key, value, item_revision, era))
+    return store_replica.StoreListing(tuple(items), revision, era, tuple(invalid))
+
+
+def _decode_key(entry: Any) -> str:
     key = entry["key"]
-    revision = _decode_position(era, entry["revision"]).revision
-    if entry.get("tombstone"):
-        return store_replica.StoreItem(key, None, revision, era)
-    return store_replica.StoreItem(key, _decode_value(entry["value"]), revision, era)
+    if not isinstance(key, str) or not key:
+        raise TypeError("the key is not text")
+    # Raises UnicodeEncodeError for a key that neither a call nor a message can hold.
+    key.encode()
+    return key
+
+
+def _check_revision(value: Any, era: int) -> int:
+    """Returns a revision; raises ValueError if it is no whole number or out of range."""
+    if type(value) is not int:
+        raise ValueError("not a revision")
+    return store_replica.StorePosition(era, value).revision
 
 
-def _decode_value(text: str) -> bytes:
+def _decode_value(text: Any) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except (ValueError, TypeError):
         # Written by an unknown writer; decoding the item reports its key as unreadable.
-        return text.encode()
+        return b""
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -29,6 +29,9 @@
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
     store_era: prometheus_client.Gauge = attrs.field(init=False)
+    invalid_items: prometheus_client.Counter = attrs.field(init=False)
+    task_failures: prometheus_client.Counter = attrs.field(init=False)
+    malformed_gossip: prometheus_client.Counter = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -93,6 +96,23 @@
             "Number of returns from an older copy that the store states.",
             registry=registry,
         )
+        self.invalid_items = counter(
+            "sesamehold_invalid_items_total",
+            "Entries of the store that could not be decoded or applied.",
+            ["kind"],
+            registry=registry,
+        )
+        self.task_failures = counter(
+            "sesamehold_task_failures_total",
+            "Unexpected errors of background tasks, which were started again.",
+            ["task"],
+            registry=registry,
+        )
+        self.malformed_gossip = counter(
+            "sesamehold_malformed_gossip_total",
+            "Datagrams, and entries of datagrams, that could not be decoded.",
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/gateway/store_replica.py
+++ b/src/sesamehold/process/gateway/store_replica.py
@@ -82,11 +82,13 @@
         items: All items of a listing, or the changed items of a watch.
         revision: Store revision after which changes may be missing.
         era: Era of the store that answered.
+        invalid_entries: Why entries could not be decoded.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     era: int = 0
+    invalid_entries: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -60,10 +60,12 @@
 
     While `failing` is set, every call is answered with that status. `restore` lets the store return
     from an older copy, which loses all changes since the copy and gives their revisions out again.
+    An entry in `raw_entries` replaces the JSON text of its key in answers.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, tuple[int, bytes | None]] = {}
+        self.raw_entries: dict[str, str] = {}
         self.revision = 1
         self.era = 1
         self.failing: int | None = None
@@ -77,6 +79,11 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._set(key, data)
 
+    def put_raw(self, key: str, text: str) -> None:
+        """Stores an entry that is sent as this JSON text, which may be anything."""
+        self.raw_entries[key] = text
+        self._set(key, b"")
+
     def delete(self, key: str) -> None:
         self._set(key, None)
 
@@ -108,7 +115,9 @@
         await web.TCPSite(runner, address.ip, address.port).start()
         return runner
 
-    def _entry(self, key: str) -> dict[str, Any]:
+    def _entry(self, key: str) -> Any:
+        if key in self.raw_entries:
+            return f"raw {key}"
         revision, data = self.items[key]
         if data is None:
             return {"key": key, "revision": revision, "tombstone": True}
@@ -158,12 +167,15 @@
         return web.Response(status=status, headers=self._headers())
 
     def _document(self, document: dict[str, Any]) -> web.Response:
-        return web.json_response(document, headers=self._headers())
+        text = json.dumps(document)
+        for key, raw in self.raw_entries.items():
+            text = text.replace(json.dumps(f"raw {key}"), raw)
+        return web.Response(text=text, content_type="application/json", headers=self._headers())
 
     def _headers(self) -> dict[str, str]:
         return {"Store-Era": str(self.era)}
 
-    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+    def _events(self, prefix: str, after: int) -> list[Any]:
         return [
             self._entry(key)
             for key, (revision, _) in self.items.items()
