--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -323,7 +323,12 @@
             await asyncio.gather(self.gateway_task, return_exceptions=True)
         await self._stack.aclose()
 
-    async def start_gateway(self, *, ready: bool = True) -> daemon.GatewayDaemon:
+    async def start_gateway(
+        self,
+        *,
+        ready: bool = True,
+        bounds: gateway_settings.FleetBounds = gateway_settings.FleetBounds(),  # noqa: B008
+    ) -> daemon.GatewayDaemon:
         config = gateway_settings.GatewaySettings(
             host_id="host-1",
             zone="z1",
@@ -332,6 +337,7 @@
             peer_address=listening.Address(HOST, free_port()),
             metrics_address=self.metrics,
             store_address=listening.Address.parse(self.store.address),
+            bounds=bounds,
         )
         platform_store = store.PlatformStore.from_config(config.store_address)
         adapter = daemon.Adapter(
@@ -351,6 +357,20 @@
             await asyncio.sleep(0.01)
         return self.gateway
 
+    async def exit_gateway(self) -> None:
+        """Waits until the gateway has stopped, and cuts what is open as the end of a process does.
+
+        Bytes in the write buffers of the process are lost, those in the kernel are not.
+        """
+        assert self.gateway is not None
+        assert self.gateway_task is not None
+        await self.gateway_task
+        for listener in self.gateway._listeners:
+            server = listener._runner.server
+            assert server is not None
+            for transport in list(server._connections.values()):
+                transport.abort()
+
     async def send(self, data: bytes, *, address: listening.Address | None = None) -> bytes:
         """Sends bytes on a new connection and returns everything received until it is closed."""
         target = address or self.ingress
