Close a connection of a caller only when it holds no request

What callers saw: beside a planned stop, a request whose head or body was on its way when idle connections are closed got no answer, nor did the requests behind it in a pipeline, nor one that had arrived in the same turn of the event loop.

Cause: the stop called close() of aiohttp's server protocol on every connection. From then on it drops all received bytes, and requests that wait in its queue. A connection counted as idle as long as its waiter existed, also when the waiter had just been told of a whole request. The class of fault: the state of a connection was guessed from one field of the library, at one moment.

A connection now knows whether it is idle, reading, handling or flushing, and only an idle one is closed. A connection that drains goes on reading and announces its end in the answer to its last received request. Connections that have just been opened or answered are left alone for 0.5 s, as a request is about to come. Ruled out: late requests on new connections were refused truthfully before too.

--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import attrs
 
+from sesamehold.connection import caller_connection
 from sesamehold.connection.gateway import target_pool
 from sesamehold.request.gateway import admission
 from sesamehold.request.gateway import messages
@@ -120,7 +121,7 @@
         """Sends the status and headers of a response whose body follows in chunks."""
         response = web.StreamResponse(status=status)
         _set_headers(response, headers)
-        self._close_if_stopping(response)
+        caller_connection.finish_if_last(self._request, response)
         self.response = response
         self.started = True
         await response.prepare(self._request)
@@ -144,16 +145,12 @@
             self._request.transport.abort()
 
     async def _send(self, response: web.Response) -> None:
-        self._close_if_stopping(response)
+        caller_connection.finish_if_last(self._request, response)
         self.response = response
         self.started = True
         await response.prepare(self._request)
         await response.write_eof()
 
-    def _close_if_stopping(self, response: web.StreamResponse) -> None:
-        if self._services.state.stopping:
-            response.force_close()
-
 
 def _set_headers(response: web.StreamResponse, headers: messages.HeaderPairs) -> None:
     for name, value in headers:
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -3,58 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 import ssl
-from typing import Any
 
 from aiohttp import web
 import attrs
-import logbook
 
-from sesamehold.connection import problem_http
+from sesamehold.connection import caller_connection
 from sesamehold.process import listening
-from sesamehold.request import errors
-
-_MS_PER_S = 1_000
-_LOG = logbook.Logger("http")
-
-
-class _ProblemHandler(web.RequestHandler):
-    """Responds to malformed HTTP and programming errors with problem documents."""
-
-    __slots__ = ()
-
-    def close(self) -> None:
-        """Closes the connection, after the current request if one is in progress."""
-        is_idle = self._waiter is not None
-        super().close()
-        # The base class only ends the task that waits for a request, not the connection.
-        if is_idle and self.transport is not None:
-            self.transport.close()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        if status == 500:
-            # Log only the type: an exception message may contain request content.
-            _LOG.error("request handler failed", extra={"error": type(exc).__name__})
-        if request.writer.output_size > 0:
-            raise ConnectionError("response already started; it cannot be replaced by a failure")
-        response = problem_http.response(_status_failure(status), None)
-        response.force_close()
-        return response
-
-
-def _status_failure(status: int) -> errors.Failure:
-    if status == 500:
-        return errors.InternalError(
-            detail="The host failed to handle the request.", ran=errors.RunStatus.UNKNOWN
-        )
-    return errors.BadRequest(detail="The request is not well-formed HTTP.", field="request")
 
 
 @attrs.define(eq=False)
@@ -63,6 +20,7 @@
 
     _runner: web.BaseRunner
     _server: asyncio.Server
+    _is_draining: bool = False
 
     @classmethod
     async def start(
@@ -73,6 +31,7 @@
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         """Listens on an address; idle connections are closed after the idle timeout."""
+        application.on_response_prepare.append(_finish_if_last)
         runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
         address = listening.Address.parse(address_text)
         return await cls._listen(runner, address, lambda: limits, tls)
@@ -106,14 +65,19 @@
         if manager is None:
             raise RuntimeError("runner has no server after setup")
         loop = asyncio.get_running_loop()
+        listener: HttpListener | None = None
+
+        def create_connection() -> caller_connection.CallerConnection:
+            connection = caller_connection.CallerConnection(manager, limits(), loop=loop)
+            if listener is not None and listener._is_draining:
+                connection.start_drain()
+            return connection
+
         server = await loop.create_server(
-            lambda: _ProblemHandler(manager, loop=loop, **_handler_options(limits())),
-            address.ip,
-            address.port,
-            ssl=tls,
-            reuse_address=True,
+            create_connection, address.ip, address.port, ssl=tls, reuse_address=True
         )
-        return cls(runner, server)
+        listener = cls(runner, server)
+        return listener
 
     @property
     def port(self) -> int:
@@ -125,11 +89,30 @@
         """Closes the listening socket; open connections are kept."""
         self._server.close()
 
-    def close_idle(self) -> None:
-        """Closes idle connections now, and the others after their current request."""
-        if self._runner.server is not None:
-            for connection in list(self._runner.server.connections):
-                connection.close()
+    def start_drain(self) -> None:
+        """Makes each connection end after the requests that have been received on it."""
+        self._is_draining = True
+        for connection in self._connections():
+            connection.start_drain()
+
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Closes connections that have been idle for a time."""
+        for connection in self._connections():
+            connection.close_if_idle(min_idle_s)
+
+    def phases(self) -> collections.Counter[caller_connection.ConnectionPhase]:
+        """Returns the number of connections in each phase."""
+        return collections.Counter(connection.phase for connection in self._connections())
+
+    def _connections(self) -> list[caller_connection.CallerConnection]:
+        server = self._runner.server
+        if server is None:
+            return []
+        return [
+            connection
+            for connection in server.connections
+            if isinstance(connection, caller_connection.CallerConnection)
+        ]
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
@@ -137,14 +120,5 @@
         await self._runner.cleanup()
 
 
-def _handler_options(limits: listening.CallerLimits) -> dict[str, Any]:
-    return {
-        "access_log": None,
-        "keepalive_timeout": limits.idle_ms / _MS_PER_S,
-        "lingering_time": min(limits.idle_ms / _MS_PER_S, 2.0),
-        "max_line_size": limits.header_size_bytes,
-        "max_field_size": limits.header_size_bytes,
-        "max_headers": limits.header_count,
-        # A compressed body can expand far beyond the limit, so compressed bodies are rejected.
-        "auto_decompress": False,
-    }
+async def _finish_if_last(request: web.Request, response: web.StreamResponse) -> None:
+    caller_connection.finish_if_last(request, response)
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -39,6 +39,8 @@
 CLOSE_TIMEOUT_S = 0.25
 # Idle connections are kept this much longer than the idle time of callers.
 IDLE_MARGIN_MS = 2_000
+# A connection that has just been opened or answered is about to carry a request.
+MIN_IDLE_S = 0.5
 _MS_PER_S = 1_000
 
 ReloadResult = Result[gateway_settings.GatewaySettings, gateway_settings.SettingsFault]
@@ -128,6 +130,8 @@
         self.state.stopping = True
         self.state.log.write("process.draining", open_requests=self.state.open_requests)
         self._fleet.leave()
+        for listener in self._listeners:
+            listener.start_drain()
         self._tasks.append(asyncio.create_task(self._drain()))
 
     def reload(self) -> None:
@@ -158,9 +162,11 @@
         await asyncio.sleep(BALANCER_REMOVAL_MS / _MS_PER_S)
         # Requests that arrive after this point could not be finished before the process ends.
         self.state.closed = True
-        for listener in self._listeners:
-            listener.close_idle()
-        while clock.now_ms() < end_ms and self.state.open_requests + len(self._stages):
+        while clock.now_ms() < end_ms:
+            for listener in self._listeners:
+                listener.close_idle(MIN_IDLE_S)
+            if not self.state.open_requests + len(self._stages):
+                break
             await asyncio.sleep(TICK_INTERVAL_S)
         self._stopped.set()
 
@@ -190,6 +196,9 @@
             await serve(callers.server(), config.ingress_address, limits),
             await serve(metrics, config.metrics_address, listening.CallerLimits),
         ]
+        if self.state.stopping:
+            for listener in self._listeners:
+                listener.start_drain()
 
     async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         del request
