Wait for requests being read and answers being sent before a process ends

What callers saw: at a planned stop with nothing else open, a request that was being received got no answer, and an answer lost its end.

Cause: the drain waited for requests whose body had been read, until their handler had returned. Requests that are still being read were not counted, nor up to 64 KiB of an answer that are in the write buffer of the process when the handler returns. The drain now waits for all connections that are not idle.

Evidence: 9 tests of test_stops.py failed before and pass now; the one of the write buffer lost its last bytes on a connection whose caller reads late.

--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
 import random
@@ -14,6 +15,7 @@
 import attrs
 from expression import Result
 
+from sesamehold.connection import caller_connection
 from sesamehold.connection import http_listener
 from sesamehold.connection.gateway import fleet
 from sesamehold.connection.gateway import ingress
@@ -165,11 +167,17 @@
         while clock.now_ms() < end_ms:
             for listener in self._listeners:
                 listener.close_idle(MIN_IDLE_S)
-            if not self.state.open_requests + len(self._stages):
+            if not self._busy_connections() and not len(self._stages):
                 break
             await asyncio.sleep(TICK_INTERVAL_S)
         self._stopped.set()
 
+    def _busy_connections(self) -> dict[str, int]:
+        """Returns the number of connections that are not idle, by phase."""
+        phases = sum((listener.phases() for listener in self._listeners), collections.Counter())
+        del phases[caller_connection.ConnectionPhase.IDLE]
+        return {phase.value: count for phase, count in phases.items()}
+
     # ---- listeners -----------------------------------------------------------------------------
 
     async def _listen(self) -> None:
