Answer open requests before the grace of a planned stop ends

What callers saw: a request that was open 0.4 s before the end of the grace lost its connection without an answer, also one that had never been forwarded and could have gone elsewhere.

Cause: the process ended with its handlers running. 0.8 s before the end of the grace the gateway now stops accepting and ends what is open: 503 with a time to come back for requests that are being received or wait for their stages, 502 for those that a target may have run, and only a stream that has begun is cut. Complete answers that are being written are left alone. Then it waits until all of this is flushed.

Adds the events process.ending, with what is open by phase of its connection, and request.unread.

--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -16,6 +16,8 @@
 
 # A caller that sends no byte of the request body for this long is treated as disconnected.
 BODY_IDLE_TIMEOUT_S = 5.0
+# The same, for a body that still arrives when the process is about to end.
+STOPPED_BODY_IDLE_TIMEOUT_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -23,6 +25,9 @@
     """Handles the HTTP requests of all callers."""
 
     _services: relay.RelayServices
+    _reads: set[asyncio.Timeout] = attrs.field(factory=set)
+    _relays: dict[relay.Relay, HttpResponseSink] = attrs.field(factory=dict)
+    _is_stopped: bool = False
 
     def server(self) -> web.Server:
         """Returns the aiohttp server; a handler is cancelled when its caller disconnects."""
@@ -34,6 +39,20 @@
         table = self._services.state.table
         return table.limits if table is not None else routing.IngressLimits()
 
+    def stop(self) -> None:
+        """Ends all open requests with their final answers, because the process is about to end.
+
+        Complete answers that are being written are left alone.
+        """
+        self._is_stopped = True
+        now_s = asyncio.get_running_loop().time()
+        for read in self._reads:
+            if not read.expired():
+                read.reschedule(now_s)
+        for running, sink in self._relays.items():
+            if not sink.is_complete:
+                running.stop()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Relays one request and writes its response."""
         state = self._services.state
@@ -52,15 +71,21 @@
             return sink.response
         head = decoded.ok
         sink = HttpResponseSink(self._services, request, head.request_id)
-        body = await self._read_body(request)
+        try:
+            body = await self._read_body(request)
+        except asyncio.CancelledError:
+            state.log.write("request.unread", request=head.request_id)
+            raise
         if isinstance(body, messages.Refusal):
             state.log.write("request.refused", request=head.request_id, reason=body.reason.value)
             await sink.refuse(body)
             return sink.response
         incoming = admission.IncomingRequest(head, body, arrived_ms)
+        running = relay.Relay(self._services, incoming, sink)
         state.open_requests += 1
+        self._relays[running] = sink
         try:
-            await relay.Relay(self._services, incoming, sink).run()
+            await running.run()
         except ConnectionError:
             # The caller disconnected while the response was being written.
             sink.abort()
@@ -71,6 +96,7 @@
                 raise
             await sink.refuse(messages.Refusal(messages.Reason.INTERNAL, may_have_run=True))
         finally:
+            del self._relays[running]
             state.open_requests -= 1
         return sink.response
 
@@ -86,30 +112,45 @@
         chunks: list[bytes] = []
         size_bytes = 0
         try:
-            while True:
-                async with asyncio.timeout(BODY_IDLE_TIMEOUT_S):
-                    chunk = await request.content.readany()
-                if not chunk:
-                    return b"".join(chunks)
+            while chunk := await self._read_chunk(request):
                 chunks.append(chunk)
                 size_bytes += len(chunk)
                 if size_bytes > limit:
                     return too_large
         except TimeoutError:
+            if self._is_stopped:
+                return admission.stopping_refusal(self._services.state)
             return messages.Refusal(messages.Reason.BODY_TIMEOUT)
         except web.RequestPayloadError:
             return messages.Refusal(messages.Reason.MALFORMED)
+        return b"".join(chunks)
+
+    async def _read_chunk(self, request: web.BaseRequest) -> bytes:
+        timeout_s = STOPPED_BODY_IDLE_TIMEOUT_S if self._is_stopped else BODY_IDLE_TIMEOUT_S
+        async with asyncio.timeout(timeout_s) as read:
+            self._reads.add(read)
+            try:
+                return await request.content.readany()
+            finally:
+                self._reads.discard(read)
 
 
 @attrs.define(eq=False)
 class HttpResponseSink:
-    """Writes the HTTP response to one request."""
+    """Writes the HTTP response to one request.
+
+    Attributes:
+        response: Response that is being written.
+        started: Whether any part of a response has been handed to the connection.
+        is_complete: Whether the whole response has been handed to the connection.
+    """
 
     _services: relay.RelayServices
     _request: web.BaseRequest
     _request_id: str | None
     response: web.StreamResponse = attrs.field(factory=web.StreamResponse, init=False)
     started: bool = attrs.field(default=False, init=False)
+    is_complete: bool = attrs.field(default=False, init=False)
 
     async def send_complete(self, status: int, headers: messages.HeaderPairs, body: bytes) -> None:
         """Sends a complete response."""
@@ -132,6 +173,7 @@
 
     async def finish(self) -> None:
         """Marks the end of a complete body."""
+        self.is_complete = True
         await self.response.write_eof()
 
     async def refuse(self, refusal: messages.Refusal) -> None:
@@ -148,6 +190,7 @@
         caller_connection.finish_if_last(self._request, response)
         self.response = response
         self.started = True
+        self.is_complete = True
         await response.prepare(self._request)
         await response.write_eof()
 
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -33,12 +33,17 @@
 from sesamehold.request.gateway import relay
 
 TICK_INTERVAL_S = 0.1
+DRAIN_POLL_S = 0.05
 # The load balancer checks readiness once a second and removes a host after two failed checks. Until
 # this time after a shutdown has begun, it may still send new connections.
 BALANCER_REMOVAL_MS = 2_600
+# Time before SIGKILL at which requests that are still open get their final answers.
+ANSWER_RESERVE_MS = 800
 # Time before SIGKILL that is reserved for closing connections.
 CLOSE_RESERVE_MS = 400
 CLOSE_TIMEOUT_S = 0.25
+# Requests that have arrived when the listening sockets are closed are read within this time.
+LAST_REQUESTS_MS = 50
 # Idle connections are kept this much longer than the idle time of callers.
 IDLE_MARGIN_MS = 2_000
 # A connection that has just been opened or answered is about to carry a request.
@@ -82,6 +87,7 @@
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
+    _callers: ingress.Ingress = attrs.field(init=False)
 
     @classmethod
     def from_config(
@@ -108,6 +114,12 @@
             pause=pause.PauseDetector(clock),
         )
 
+    def __attrs_post_init__(self) -> None:
+        services = relay.RelayServices(
+            self.state, self._adapter.requests, self._client, self._fleet
+        )
+        self._callers = ingress.Ingress(services)
+
     async def run(self) -> None:
         """Serves until a graceful shutdown is complete."""
         await self._fleet.start()
@@ -158,19 +170,36 @@
             self.state.metrics.dropped_log_lines.set(self._output.dropped_count)
 
     async def _drain(self) -> None:
-        clock = self.state.clock
-        started_ms = clock.now_ms()
-        end_ms = started_ms + self.state.config.bounds.grace_ms - CLOSE_RESERVE_MS
+        started_ms = self.state.clock.now_ms()
+        grace_end_ms = started_ms + self.state.config.bounds.grace_ms
         await asyncio.sleep(BALANCER_REMOVAL_MS / _MS_PER_S)
         # Requests that arrive after this point could not be finished before the process ends.
         self.state.closed = True
-        while clock.now_ms() < end_ms:
+        await self._wait_until_idle(grace_end_ms - ANSWER_RESERVE_MS)
+        for listener in self._listeners:
+            listener.stop_accepting()
+        self._log_open("process.ending")
+        self._callers.stop()
+        await asyncio.sleep(LAST_REQUESTS_MS / _MS_PER_S)
+        await self._wait_until_idle(grace_end_ms - CLOSE_RESERVE_MS)
+        self._stopped.set()
+
+    async def _wait_until_idle(self, end_ms: int) -> None:
+        """Closes idle connections until no other one is left, or a time has come."""
+        while self.state.clock.now_ms() < end_ms:
             for listener in self._listeners:
                 listener.close_idle(MIN_IDLE_S)
             if not self._busy_connections() and not len(self._stages):
-                break
-            await asyncio.sleep(TICK_INTERVAL_S)
-        self._stopped.set()
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _log_open(self, event: str) -> None:
+        self.state.log.write(
+            event,
+            open_requests=self.state.open_requests,
+            stages=len(self._stages),
+            connections=self._busy_connections(),
+        )
 
     def _busy_connections(self) -> dict[str, int]:
         """Returns the number of connections that are not idle, by phase."""
@@ -182,13 +211,9 @@
 
     async def _listen(self) -> None:
         config = self.state.config
-        services = relay.RelayServices(
-            self.state, self._adapter.requests, self._client, self._fleet
-        )
-        callers = ingress.Ingress(services)
 
         def limits() -> listening.CallerLimits:
-            current = callers.limits
+            current = self._callers.limits
             return listening.CallerLimits(
                 header_size_bytes=current.header_size_bytes,
                 idle_ms=current.idle_ms + IDLE_MARGIN_MS,
@@ -201,7 +226,7 @@
         metrics = web.Server(self._metrics)
         self._listeners = [
             await serve(readiness, config.readiness_address, listening.CallerLimits),
-            await serve(callers.server(), config.ingress_address, limits),
+            await serve(self._callers.server(), config.ingress_address, limits),
             await serve(metrics, config.metrics_address, listening.CallerLimits),
         ]
         if self.state.stopping:
@@ -231,7 +256,7 @@
         except TimeoutError:
             # The kernel closes the remaining connections when the process exits.
             self.state.log.write("process.close-timeout")
-        self.state.log.write("process.stopped", open_requests=self.state.open_requests)
+        self._log_open("process.stopped")
         self._output.flush()
 
 
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -64,7 +64,7 @@
     head = incoming.head
     table = state.table
     if state.closed:
-        return Error(not_run_refusal(state, messages.Reason.STOPPING, STOPPING_RETRY_MS))
+        return Error(stopping_refusal(state))
     if table is None:
         reason = messages.Reason.NO_CONFIGURATION
         return Error(not_run_refusal(state, reason, NO_CONFIGURATION_RETRY_MS))
@@ -98,6 +98,11 @@
     return messages.Refusal(reason, retry_after_ms=int(retry_after_ms * jitter_factor))
 
 
+def stopping_refusal(state: states.GatewayState) -> messages.Refusal:
+    """Returns the refusal of a request that has not run because the process is about to end."""
+    return not_run_refusal(state, messages.Reason.STOPPING, STOPPING_RETRY_MS)
+
+
 def _try_probe(state: states.GatewayState, blamed: crash_attribution.Trait, now_ms: int) -> bool:
     live_hosts = [state.hosts.local.address, *state.hosts.alive(now_ms)]
     return state.crashes.try_probe(blamed, live_hosts, now_ms)
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -71,6 +71,8 @@
     _in_flight: bool = False
     _answer_ms: int | None = None
     _outcome: str = ""
+    _time_limit: asyncio.Timeout | None = None
+    _is_stopped: bool = False
 
     @property
     def outcome(self) -> str:
@@ -91,17 +93,28 @@
                 return
         remaining_ms = self._deadline.remaining_ms(self._now_ms())
         try:
-            async with asyncio.timeout(remaining_ms / _MS_PER_S):
+            async with asyncio.timeout(remaining_ms / _MS_PER_S) as self._time_limit:
                 await self._serve()
         except TimeoutError:
-            await self._fail(messages.Reason.TOO_LATE)
+            self._time_limit = None
+            if self._is_stopped:
+                await self._fail(messages.Reason.STOPPING, admission.STOPPING_RETRY_MS)
+            else:
+                await self._fail(messages.Reason.TOO_LATE)
         except asyncio.CancelledError:
             self._outcome = self._outcome or "caller-left"
             raise
         finally:
+            self._time_limit = None
             self._stages.release()
             self._record_outcome()
 
+    def stop(self) -> None:
+        """Ends the request with its final answer now, because the process is about to end."""
+        if self._time_limit is not None and not self._time_limit.expired():
+            self._is_stopped = True
+            self._time_limit.reschedule(asyncio.get_running_loop().time())
+
     def _apply_admission(self, admitted: admission.Admitted) -> None:
         self._route = admitted.route
         self._account = admitted.account
