Refuse requests that cannot end before a stopping process does

What callers saw: a request that came after SIGTERM on a route whose answers take longer than the rest of the grace was forwarded, and cut when the process ended. Where it may not be repeated, it was lost.

Cause: until connections are closed, a stopping host took every request, whatever time was left to answer it. A request that would probably end in time is still taken.

--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -142,11 +142,13 @@
         if self.state.stopping:
             return
         self.state.stopping = True
+        grace_end_ms = self.state.clock.now_ms() + self.state.config.bounds.grace_ms
+        self.state.answers_end_ms = grace_end_ms - ANSWER_RESERVE_MS
         self.state.log.write("process.draining", open_requests=self.state.open_requests)
         self._fleet.leave()
         for listener in self._listeners:
             listener.start_drain()
-        self._tasks.append(asyncio.create_task(self._drain()))
+        self._tasks.append(asyncio.create_task(self._drain(grace_end_ms)))
 
     def reload(self) -> None:
         """Reads the settings again; keeps the current ones if the new ones are invalid."""
@@ -169,9 +171,7 @@
             self._client.close_idle()
             self.state.metrics.dropped_log_lines.set(self._output.dropped_count)
 
-    async def _drain(self) -> None:
-        started_ms = self.state.clock.now_ms()
-        grace_end_ms = started_ms + self.state.config.bounds.grace_ms
+    async def _drain(self, grace_end_ms: int) -> None:
         await asyncio.sleep(BALANCER_REMOVAL_MS / _MS_PER_S)
         # Requests that arrive after this point could not be finished before the process ends.
         self.state.closed = True
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -39,9 +39,12 @@
         cold_rate_limit: Rate limit for cold targets.
         restrictions: What targets said about themselves in their answers.
         crashes: Attribution of crashes of targets to requests and prompt parts.
+        route_duration: Estimate of the time from arrival to the end of the answer for each route.
         route_latency: Latency estimate for each route.
         table: Current routing table, None until a configuration has been read.
         stopping: Whether a graceful shutdown has begun.
+        answers_end_ms: Monotonic time at which a graceful shutdown ends open requests, None without
+            a shutdown.
         closed: Whether new requests are refused because the process is about to end.
         open_requests: Number of requests that have no final answer yet.
     """
@@ -58,9 +61,11 @@
     cold_rate_limit: cold_rate_limit.ColdRateLimit
     restrictions: target_restrictions.TargetRestrictions
     crashes: crash_attribution.CrashAttribution
+    route_duration: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     table: routing.RoutingTable | None = None
     stopping: bool = False
+    answers_end_ms: int | None = None
     closed: bool = False
     open_requests: int = 0
 
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -71,6 +71,8 @@
     route = table.find_route(head.host, head.path)
     if route is None:
         return Error(messages.Refusal(messages.Reason.NO_ROUTE))
+    if not _can_finish(state, route):
+        return Error(stopping_refusal(state))
     account = None
     if table.requires_key and not route.anonymous:
         account = table.accounts_by_key.get(head.key or "")
@@ -90,6 +92,14 @@
     return Ok(Admitted(route, account, service, deadline, traits, blamed))
 
 
+def _can_finish(state: states.GatewayState, route: routing.Route) -> bool:
+    """Returns whether a request of a route is expected to end before this process does."""
+    if state.answers_end_ms is None:
+        return True
+    expected_ms = state.route_duration.expected_ms(route.name)
+    return state.clock.now_ms() + expected_ms < state.answers_end_ms
+
+
 def not_run_refusal(
     state: states.GatewayState, reason: messages.Reason, retry_after_ms: int
 ) -> messages.Refusal:
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -526,6 +526,8 @@
     def _record_outcome(self) -> None:
         state = self._services.state
         duration_ms = self._now_ms() - self._incoming.arrived_ms
+        if self._outcome == "served":
+            state.route_duration.record(self._route.name, duration_ms)
         state.metrics.requests.labels(self._route.name, self._outcome).inc()
         state.metrics.request_seconds.labels(self._route.name).observe(duration_ms / _MS_PER_S)
         self._log(
