Keep requests that any recent caller limits allow

What callers saw: after a change of the idle time, the body size or the header size, requests within the limits were refused or lost their kept connection, and a request whose head arrived slowly was cut when the idle time of its connection passed.

Cause: idle time and header size were those of the moment at which the connection began, and a smaller body limit applied at once, while callers may still go by the configuration before it. The idle timer looked only at whether a request was being handled, so a head of which a part had arrived counted as idle.

The process keeps the limits that the current configuration has replaced, until every host knows the new one and for their idle time, and applies the widest. A connection asks for the limits when a time limit passes. Parsers accept header lines up to 64 KiB or the limit, if that is larger, and the limit in force is checked for each request, which is refused with 431 instead of 400. An unfinished head has its own time limit, which was not enforced. A passed limit is checked again 50 ms later, so that bytes that came while the process stood still are read before its connection is closed.

Ruled out: a shorter idle time does not cut kept connections, and a body that is being received keeps the limit that it began with. Not changed: a request beyond the known limits that a newer configuration, not yet known here, would allow is refused.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import enum
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
@@ -14,6 +16,9 @@
 from sesamehold.request import errors
 
 _MS_PER_S = 1_000
+# A time limit that has passed is checked again after this time, so that bytes that arrived while
+# the process stood still are read first.
+RECHECK_S = 0.05
 _LOG = logbook.Logger("http")
 
 
@@ -35,13 +40,34 @@
     never used to end a connection early.
     """
 
-    __slots__ = ("_is_draining", "_is_head_begun", "_last_body", "_socket")
+    __slots__ = (
+        "_head_begun_s",
+        "_is_draining",
+        "_is_overdue",
+        "_last_body",
+        "_limits",
+        "_socket",
+    )
 
-    def __init__(self, manager: web.Server, limits: listening.CallerLimits, **options: Any) -> None:
-        """Creates the connection; the limits apply until it ends."""
-        super().__init__(manager, **_handler_options(limits), **options)
+    def __init__(
+        self,
+        manager: web.Server,
+        limits: Callable[[], listening.ConnectionLimits],
+        **options: Any,
+    ) -> None:
+        """Creates the connection.
+
+        Args:
+            manager: Server whose handler receives the requests.
+            limits: Returns the limits that are in force now. Those on headers apply as they are at
+                the start of the connection, and the idle time is never shorter than at its start.
+            options: Further options of the base class.
+        """
+        super().__init__(manager, **_handler_options(limits()), **options)
+        self._limits = limits
         self._is_draining = False
-        self._is_head_begun = False
+        self._is_overdue = False
+        self._head_begun_s: float | None = None
         self._last_body: Any = None
         self._socket: asyncio.Transport | None = None
 
@@ -55,7 +81,7 @@
         if self._waiter is None and self._request_count:
             is_reading = self._current_request is not None and not self._last_body.is_eof()
             return ConnectionPhase.READING if is_reading else ConnectionPhase.HANDLING
-        if self._is_head_begun:
+        if self._head_begun_s is not None:
             return ConnectionPhase.READING
         if self._socket.get_write_buffer_size():
             return ConnectionPhase.FLUSHING
@@ -93,16 +119,45 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        self._is_overdue = False
         known_count = self._request_count
         is_in_body = self._last_body is not None and not self._last_body.is_eof()
         super().data_received(data)
         if self._request_count != known_count:
-            self._is_head_begun = False
+            self._head_begun_s = None
             if self._messages:
                 self._last_body = self._messages[-1][1]
         # Empty lines between requests begin no head.
-        elif not is_in_body and data.strip(b"\r\n"):
-            self._is_head_begun = True
+        elif not is_in_body and self._head_begun_s is None and data.strip(b"\r\n"):
+            self._head_begun_s = self._loop.time()
+            self._schedule_time_limit(self._head_begun_s + self._limits().head_ms / _MS_PER_S)
+
+    def _schedule_time_limit(self, at_s: float) -> None:
+        if self._keepalive_handle is not None:
+            self._keepalive_handle.cancel()
+        self._keepalive_handle = self._loop.call_at(at_s, self._process_keepalive)
+
+    def _process_keepalive(self) -> None:
+        """Ends the connection if it has been idle, or a head has been incomplete, for too long."""
+        self._keepalive_handle = None
+        if self._force_close or not self._keepalive:
+            return
+        if self._waiter is None or self._waiter.done():
+            return
+        limits = self._limits()
+        if self._head_begun_s is not None:
+            end_s = self._head_begun_s + limits.head_ms / _MS_PER_S
+        else:
+            idle_s = max(self._keepalive_timeout, limits.idle_ms / _MS_PER_S)
+            end_s = self.idle_since_s + idle_s
+        now_s = self._loop.time()
+        if now_s < end_s:
+            self._schedule_time_limit(end_s)
+        elif not self._is_overdue:
+            self._is_overdue = True
+            self._schedule_time_limit(now_s + RECHECK_S)
+        else:
+            self.force_close()
 
     def handle_error(
         self,
@@ -130,14 +185,14 @@
 
 
 def _status_failure(status: int) -> errors.Failure:
-    if status == 500:
+    if status == HTTPStatus.INTERNAL_SERVER_ERROR:
         return errors.InternalError(
             detail="The host failed to handle the request.", ran=errors.RunStatus.UNKNOWN
         )
     return errors.BadRequest(detail="The request is not well-formed HTTP.", field="request")
 
 
-def _handler_options(limits: listening.CallerLimits) -> dict[str, Any]:
+def _handler_options(limits: listening.ConnectionLimits) -> dict[str, Any]:
     return {
         "access_log": None,
         "keepalive_timeout": limits.idle_ms / _MS_PER_S,
--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -35,9 +35,9 @@
 
     @property
     def limits(self) -> routing.IngressLimits:
-        """Returns the caller limits of the current routing table."""
-        table = self._services.state.table
-        return table.limits if table is not None else routing.IngressLimits()
+        """Returns the widest of the caller limits that may be in force for some caller."""
+        state = self._services.state
+        return state.caller_limits.widest(state.clock.now_ms())
 
     def stop(self) -> None:
         """Ends all open requests with their final answers, because the process is about to end.
@@ -59,6 +59,12 @@
         arrived_ms = state.clock.now_ms()
         if request.transport is not None:
             target_pool.enable_dead_peer_detection(request.transport.get_extra_info("socket"))
+        if _largest_line_bytes(request) > self.limits.header_size_bytes:
+            sink = HttpResponseSink(self._services, request, None)
+            refusal = messages.Refusal(messages.Reason.HEADER_TOO_LARGE)
+            state.log.write("request.refused", reason=refusal.reason.value)
+            await sink.refuse(refusal)
+            return sink.response
         decoded = self._services.codec.decode_request_head(
             request.method,
             request.raw_path.encode("utf-8", "surrogateescape"),
@@ -198,3 +204,8 @@
 def _set_headers(response: web.StreamResponse, headers: messages.HeaderPairs) -> None:
     for name, value in headers:
         response.headers.add(name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+
+
+def _largest_line_bytes(request: web.BaseRequest) -> int:
+    lines = (len(name) + len(value) for name, value in request.raw_headers)
+    return max(len(request.raw_path), *lines, 0)
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -34,21 +34,21 @@
         application.on_response_prepare.append(_finish_if_last)
         runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
         address = listening.Address.parse(address_text)
-        return await cls._listen(runner, address, lambda: limits, tls)
+        return await cls._listen(runner, address, limits.for_connection, tls)
 
     @classmethod
     async def serve(
         cls,
         server: web.Server,
         address: listening.Address,
-        limits: Callable[[], listening.CallerLimits],
+        limits: Callable[[], listening.ConnectionLimits],
     ) -> HttpListener:
         """Listens on an address with a low-level server that has no routes.
 
         Args:
             server: Server whose handler receives all requests.
             address: Address to listen on.
-            limits: Returns the limits for a new connection.
+            limits: Returns the limits that are in force now.
         """
         return await cls._listen(web.ServerRunner(server), address, limits, None)
 
@@ -57,7 +57,7 @@
         cls,
         runner: web.BaseRunner,
         address: listening.Address,
-        limits: Callable[[], listening.CallerLimits],
+        limits: Callable[[], listening.ConnectionLimits],
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         await runner.setup()
@@ -68,7 +68,7 @@
         listener: HttpListener | None = None
 
         def create_connection() -> caller_connection.CallerConnection:
-            connection = caller_connection.CallerConnection(manager, limits(), loop=loop)
+            connection = caller_connection.CallerConnection(manager, limits, loop=loop)
             if listener is not None and listener._is_draining:
                 connection.start_drain()
             return connection
--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -58,6 +58,7 @@
     messages.Reason.UNKNOWN_KEY: 401,
     messages.Reason.MALFORMED: 400,
     messages.Reason.BODY_TOO_LARGE: 413,
+    messages.Reason.HEADER_TOO_LARGE: 431,
     messages.Reason.BODY_TIMEOUT: 408,
 }
 # 503 guarantees that the request has not run; 502 and 504 guarantee nothing.
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -44,8 +44,11 @@
 CLOSE_TIMEOUT_S = 0.25
 # Requests that have arrived when the listening sockets are closed are read within this time.
 LAST_REQUESTS_MS = 50
-# Idle connections are kept this much longer than the idle time of callers.
+# Idle connections and unfinished heads are kept this much longer than the limits of callers.
 IDLE_MARGIN_MS = 2_000
+# Parsers accept header lines up to this size, as the limit may grow while a connection is open. The
+# limit in force is checked for each request.
+HEADER_CEILING_BYTES = 65_536
 # A connection that has just been opened or answered is about to carry a request.
 MIN_IDLE_S = 0.5
 _MS_PER_S = 1_000
@@ -212,11 +215,12 @@
     async def _listen(self) -> None:
         config = self.state.config
 
-        def limits() -> listening.CallerLimits:
-            current = self._callers.limits
-            return listening.CallerLimits(
-                header_size_bytes=current.header_size_bytes,
-                idle_ms=current.idle_ms + IDLE_MARGIN_MS,
+        def limits() -> listening.ConnectionLimits:
+            widest = self._callers.limits
+            return listening.ConnectionLimits(
+                header_size_bytes=max(HEADER_CEILING_BYTES, widest.header_size_bytes),
+                idle_ms=widest.idle_ms + IDLE_MARGIN_MS,
+                head_ms=widest.header_ms + IDLE_MARGIN_MS,
             )
 
         serve = http_listener.HttpListener.serve
@@ -225,9 +229,9 @@
         readiness = web.Server(self._readiness)
         metrics = web.Server(self._metrics)
         self._listeners = [
-            await serve(readiness, config.readiness_address, listening.CallerLimits),
+            await serve(readiness, config.readiness_address, listening.ConnectionLimits),
             await serve(self._callers.server(), config.ingress_address, limits),
-            await serve(metrics, config.metrics_address, listening.CallerLimits),
+            await serve(metrics, config.metrics_address, listening.ConnectionLimits),
         ]
         if self.state.stopping:
             for listener in self._listeners:
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -182,6 +182,7 @@
                     log.write("configuration.older", version=table.version, kept=known.version)
                     return
                 state.table = table
+                state.caller_limits.put(table.limits, state.clock.now_ms())
                 log.write("configuration.in-force", version=table.version, revision=item.revision)
             case directory_events.TargetPublished(target=target):
                 removal = self._pending_removals.pop(target.target_id, None)
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sesamehold.process import clock as clocks
+from sesamehold.process.gateway import caller_limits
 from sesamehold.process.gateway import cold_rate_limit
 from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import decision_log
@@ -38,6 +39,7 @@
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
         restrictions: What targets said about themselves in their answers.
+        caller_limits: Limits of callers in the current and in recent configurations.
         crashes: Attribution of crashes of targets to requests and prompt parts.
         route_duration: Estimate of the time from arrival to the end of the answer for each route.
         route_latency: Latency estimate for each route.
@@ -60,6 +62,7 @@
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
     restrictions: target_restrictions.TargetRestrictions
+    caller_limits: caller_limits.RecentCallerLimits
     crashes: crash_attribution.CrashAttribution
     route_duration: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
@@ -95,6 +98,7 @@
             retry_budget=retry_budget.RetryBudget(config.bounds),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
             restrictions=target_restrictions.TargetRestrictions(rng),
+            caller_limits=caller_limits.RecentCallerLimits(config.bounds.change_ms),
             crashes=crash_attribution.CrashAttribution(address),
         )
 
--- a/src/sesamehold/process/listening.py
+++ b/src/sesamehold/process/listening.py
@@ -26,6 +26,23 @@
         return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
 
 
+@attrs.frozen
+class ConnectionLimits:
+    """Limits on one connection of a caller.
+
+    Attributes:
+        header_size_bytes: Largest single header line.
+        header_count: Most header lines of one request.
+        idle_ms: Time after which a connection without a request is closed.
+        head_ms: Time from the first to the last byte of a request's head.
+    """
+
+    header_size_bytes: int = 8_190
+    header_count: int = 64
+    idle_ms: int = 30_000
+    head_ms: int = 30_000
+
+
 @attrs.frozen
 class CallerLimits:
     """Limits on what callers may send.
@@ -45,3 +62,12 @@
     open_requests: int = 2_000
     open_streams: int = 1_000
     idle_ms: int = 30_000
+
+    def for_connection(self) -> ConnectionLimits:
+        """Returns the part of the limits that concerns a connection."""
+        return ConnectionLimits(
+            header_size_bytes=self.header_size_bytes,
+            header_count=self.header_count,
+            idle_ms=self.idle_ms,
+            head_ms=self.idle_ms,
+        )
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -184,6 +184,7 @@
     UNKNOWN_KEY = "unknown-key"
     MALFORMED = "malformed"
     BODY_TOO_LARGE = "body-too-large"
+    HEADER_TOO_LARGE = "header-too-large"
     BODY_TIMEOUT = "body-timeout"
     NO_TARGET = "no-target"
     OVERLOADED = "overloaded"
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -168,6 +168,7 @@
         pytest.param(messages.Refusal(messages.Reason.NO_ROUTE), 404, id="no-route"),
         pytest.param(messages.Refusal(messages.Reason.UNKNOWN_KEY), 401, id="unknown-key"),
         pytest.param(messages.Refusal(messages.Reason.BODY_TOO_LARGE), 413, id="too-large"),
+        pytest.param(messages.Refusal(messages.Reason.HEADER_TOO_LARGE), 431, id="large-header"),
         pytest.param(messages.Refusal(messages.Reason.TOO_LATE), 503, id="late-not-run"),
         pytest.param(messages.Refusal(messages.Reason.TOO_LATE, True), 504, id="late-may-have-run"),
         pytest.param(
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -133,6 +133,7 @@
         "process/ledger_replication.py",
         "process/partner_split.py",
         "process/settings.py",
+        "process/gateway/caller_limits.py",
         "process/gateway/cold_rate_limit.py",
         "process/gateway/crash_attribution.py",
         "process/gateway/target_restrictions.py",
