Refuse a request whose head is incomplete when the grace ends

What callers saw: a connection on which a part of a head had arrived ended without an answer. A caller cannot tell this from a request that was forwarded. It is now refused with 503 once the process is about to end; until then its rest is waited for.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -8,7 +8,9 @@
 from http import HTTPStatus
 from typing import Any
 
+from aiohttp import streams
 from aiohttp import web
+from aiohttp import web_protocol
 import logbook
 
 from sesamehold.connection import problem_http
@@ -107,6 +109,18 @@
         if self._is_draining and not self._messages:
             response.force_close()
 
+    def refuse_unfinished_head(self) -> None:
+        """Refuses a request of whose head only a part has arrived, because the process ends."""
+        waiter = self._waiter
+        if self._head_begun_s is None or waiter is None or waiter.done():
+            return
+        _LOG.info("head refused")
+        self._head_begun_s = None
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        error = web_protocol._ErrInfo(status.value, TimeoutError(), status.phrase)
+        self._messages.append((error, streams.EMPTY_PAYLOAD))
+        waiter.set_result(None)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to serve the connection."""
         super().connection_made(transport)
@@ -189,6 +203,8 @@
         return errors.InternalError(
             detail="The host failed to handle the request.", ran=errors.RunStatus.UNKNOWN
         )
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return errors.Draining(detail="The host is shutting down.")
     return errors.BadRequest(detail="The request is not well-formed HTTP.", field="request")
 
 
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -100,6 +100,11 @@
         for connection in self._connections():
             connection.close_if_idle(min_idle_s)
 
+    def refuse_unfinished_heads(self) -> None:
+        """Refuses requests of whose head only a part has arrived."""
+        for connection in self._connections():
+            connection.refuse_unfinished_head()
+
     def phases(self) -> collections.Counter[caller_connection.ConnectionPhase]:
         """Returns the number of connections in each phase."""
         return collections.Counter(connection.phase for connection in self._connections())
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -183,6 +183,8 @@
             listener.stop_accepting()
         self._log_open("process.ending")
         self._callers.stop()
+        for listener in self._listeners:
+            listener.refuse_unfinished_heads()
         await asyncio.sleep(LAST_REQUESTS_MS / _MS_PER_S)
         await self._wait_until_idle(grace_end_ms - CLOSE_RESERVE_MS)
         self._stopped.set()
--- a/testing/platform/test_stops.py
+++ b/testing/platform/test_stops.py
@@ -430,3 +430,21 @@
             assert answers.count(b"too-late") == 0
 
     stand_in.run(main)
+
+
+def test_request_whose_head_is_incomplete_at_the_end_of_the_grace_is_refused() -> None:
+    """Guards against closing a connection without an answer on which a request has begun."""
+
+    async def main() -> None:
+        site = _site(_ok)
+        async with site:
+            gateway = await site.start_gateway(bounds=BOUNDS)
+            caller = await Caller.connect(site)
+            caller.write(_keep()[:20])
+            await asyncio.sleep(0.05)
+            gateway.start_drain()
+            exited = asyncio.create_task(site.exit_gateway())
+            assert _status(await caller.read_rest()) == 503
+            await exited
+
+    stand_in.run(main)
