Wait for requests being read at a stop on the product's own path

What callers saw: a request of whose head a part had arrived when a host of the product's own path shut down got no answer.

The drain waited for admitted requests only, and then closed all connections. It now uses the phases of the shared listener: connections announce their end in their last answer, idle ones are closed, and the others are waited for until the end of the drain.

Evidence: test_request_that_is_being_received_at_a_stop_gets_an_answer[in-its-head] failed before and passes now; [in-its-body] passed before too.

--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -127,3 +127,6 @@
 
 async def _finish_if_last(request: web.Request, response: web.StreamResponse) -> None:
     caller_connection.finish_if_last(request, response)
+    # The headers have been completed before this signal.
+    if not response.keep_alive:
+        response.headers["Connection"] = "close"
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -17,6 +17,7 @@
 import logbook
 import uvloop
 
+from sesamehold.connection import caller_connection
 from sesamehold.connection import http_listener
 from sesamehold.connection import peer_server
 from sesamehold.process import components
@@ -31,6 +32,8 @@
 SLOT_TICK_S = 0.05
 METRICS_TICK_S = 1.0
 DRAIN_POLL_S = 0.05
+# A connection that has just been opened or answered is about to carry a request.
+MIN_IDLE_S = 0.5
 _MS_PER_S = 1_000
 LOAD_POLL_S = 0.1
 
@@ -84,6 +87,8 @@
         self.node.requests.draining = True
         _LOG.info("draining", extra={"open_requests": len(self.node.requests)})
         self._components.fleet.leave()
+        for listener in self._listeners:
+            listener.start_drain()
         self._tasks.append(asyncio.create_task(self._drain()))
 
     def log_state(self) -> None:
@@ -96,10 +101,18 @@
         await asyncio.sleep(config.balancer_grace_ms / _MS_PER_S)
         self.node.requests.closed = True
         deadline_ms = self.node.clock.now_ms() + config.drain_ms
-        while len(self.node.requests) and self.node.clock.now_ms() < deadline_ms:
+        while self.node.clock.now_ms() < deadline_ms:
+            for listener in self._listeners:
+                listener.close_idle(MIN_IDLE_S)
+            if not len(self.node.requests) and not self._has_busy_connections():
+                break
             await asyncio.sleep(DRAIN_POLL_S)
         self._stopped.set()
 
+    def _has_busy_connections(self) -> bool:
+        idle = caller_connection.ConnectionPhase.IDLE
+        return any(listener.phases().keys() - {idle} for listener in self._listeners)
+
     async def _listen(self) -> None:
         config = self.node.config
         certificates = self._components.certificates
--- a/testing/process/test_daemon_fleet.py
+++ b/testing/process/test_daemon_fleet.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 import attrs
+import pytest
 from sesamehold_bench.connection import platform_http
 from sesamehold_bench.process import local_fleet
 from sesamehold_bench.version import fleet
@@ -116,3 +117,33 @@
             await _until(lambda: all(item.is_alive("host-2") for item in members), 5)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "sent_bytes", [pytest.param(20, id="in-its-head"), pytest.param(-1, id="in-its-body")]
+)
+def test_request_that_is_being_received_at_a_stop_gets_an_answer(sent_bytes: int) -> None:
+    """Guards against a host that drops the rest of a request because it shuts down."""
+
+    async def run() -> None:
+        async with _fleet() as running:
+            stopping = running.daemons[0]
+            await _until(stopping.node.is_ready, 5)
+            ip, _, port = running.addresses[1].rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            data = (
+                b"POST /v1/pipelines/p/requests HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            writer.write(data[:sent_bytes])
+            await asyncio.sleep(0.1)
+            stopping.start_drain()
+            await _until(lambda: stopping.node.requests.closed, 5)
+            await asyncio.sleep(1.0)
+            writer.write(data[sent_bytes:])
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 ")
+            assert b"Connection: close" in answer
+            writer.close()
+
+    asyncio.run(run())
