--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -18,9 +18,6 @@
 from sesamehold.request import errors
 
 _MS_PER_S = 1_000
-# A time limit that has passed is checked again after this time, so that bytes that arrived while
-# the process stood still are read first.
-RECHECK_S = 0.05
 _LOG = logbook.Logger("http")
 
 
@@ -45,7 +42,6 @@
     __slots__ = (
         "_head_begun_s",
         "_is_draining",
-        "_is_overdue",
         "_last_body",
         "_limits",
         "_socket",
@@ -68,7 +64,6 @@
         super().__init__(manager, **_handler_options(limits()), **options)
         self._limits = limits
         self._is_draining = False
-        self._is_overdue = False
         self._head_begun_s: float | None = None
         self._last_body: Any = None
         self._socket: asyncio.Transport | None = None
@@ -133,7 +128,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
-        self._is_overdue = False
         known_count = self._request_count
         is_in_body = self._last_body is not None and not self._last_body.is_eof()
         super().data_received(data)
@@ -164,12 +158,8 @@
         else:
             idle_s = max(self._keepalive_timeout, limits.idle_ms / _MS_PER_S)
             end_s = self.idle_since_s + idle_s
-        now_s = self._loop.time()
-        if now_s < end_s:
+        if self._loop.time() < end_s:
             self._schedule_time_limit(end_s)
-        elif not self._is_overdue:
-            self._is_overdue = True
-            self._schedule_time_limit(now_s + RECHECK_S)
         else:
             self.force_close()
 
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -181,7 +181,7 @@
         await self._wait_until_idle(grace_end_ms - ANSWER_RESERVE_MS)
         for listener in self._listeners:
             listener.stop_accepting()
-        self._log_open("process.ending")
+        self.state.log.write("process.ending", **self._open_counts())
         self._callers.stop()
         for listener in self._listeners:
             listener.refuse_unfinished_heads()
@@ -198,13 +198,12 @@
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
-    def _log_open(self, event: str) -> None:
-        self.state.log.write(
-            event,
-            open_requests=self.state.open_requests,
-            stages=len(self._stages),
-            connections=self._busy_connections(),
-        )
+    def _open_counts(self) -> dict[str, Any]:
+        return {
+            "open_requests": self.state.open_requests,
+            "stages": len(self._stages),
+            "connections": self._busy_connections(),
+        }
 
     def _busy_connections(self) -> dict[str, int]:
         """Returns the number of connections that are not idle, by phase."""
@@ -262,7 +261,7 @@
         except TimeoutError:
             # The kernel closes the remaining connections when the process exits.
             self.state.log.write("process.close-timeout")
-        self._log_open("process.stopped")
+        self.state.log.write("process.stopped", **self._open_counts())
         self._output.flush()
 
 
