--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
@@ -15,6 +16,7 @@
 import attrs
 from expression import Result
 
+from sesamehold.connection import caller_connection
 from sesamehold.connection import http_listener
 from sesamehold.connection.gateway import fleet
 from sesamehold.connection.gateway import ingress
@@ -33,14 +35,24 @@
 from sesamehold.request.gateway import relay
 
 TICK_INTERVAL_S = 0.1
+DRAIN_POLL_S = 0.05
 # The load balancer checks readiness once a second and removes a host after two failed checks. Until
 # this time after a shutdown has begun, it may still send new connections.
 BALANCER_REMOVAL_MS = 2_600
+# Time before SIGKILL at which requests that are still open get their final answers.
+ANSWER_RESERVE_MS = 800
 # Time before SIGKILL that is reserved for closing connections.
 CLOSE_RESERVE_MS = 400
 CLOSE_TIMEOUT_S = 0.25
-# Idle connections are kept this much longer than the idle time of callers.
+# Requests that have arrived when the listening sockets are closed are read within this time.
+LAST_REQUESTS_MS = 50
+# Idle connections and unfinished heads are kept this much longer than the limits of callers.
 IDLE_MARGIN_MS = 2_000
+# Parsers accept header lines up to this size, as the limit may grow while a connection is open. The
+# limit in force is checked for each request.
+HEADER_CEILING_BYTES = 65_536
+# A connection that has just been opened or answered is about to carry a request.
+MIN_IDLE_S = 0.5
 _MS_PER_S = 1_000
 
 ReloadResult = Result[gateway_settings.GatewaySettings, gateway_settings.SettingsFault]
@@ -80,6 +92,7 @@
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
+    _callers: ingress.Ingress = attrs.field(init=False)
 
     @classmethod
     def from_config(
@@ -106,6 +119,12 @@
             pause=pause.PauseDetector(clock),
         )
 
+    def __attrs_post_init__(self) -> None:
+        services = relay.RelayServices(
+            self.state, self._adapter.requests, self._client, self._fleet
+        )
+        self._callers = ingress.Ingress(services)
+
     async def run(self) -> None:
         """Serves until a graceful shutdown is complete."""
         await self._fleet.start()
@@ -125,9 +144,13 @@
         if self.state.stopping:
             return
         self.state.stopping = True
+        grace_end_ms = self.state.clock.now_ms() + self.state.config.bounds.grace_ms
+        self.state.answers_end_ms = grace_end_ms - ANSWER_RESERVE_MS
         self.state.log.write("process.draining", open_requests=self.state.open_requests)
         self._fleet.leave()
-        self._tasks.append(asyncio.create_task(self._drain()))
+        for listener in self._listeners:
+            listener.start_drain()
+        self._tasks.append(asyncio.create_task(self._drain(grace_end_ms)))
 
     def reload(self) -> None:
         """Reads the settings again; keeps the current ones if the new ones are invalid."""
@@ -154,33 +177,54 @@
             self._client.close_idle()
             self.state.metrics.dropped_log_lines.set(self._output.dropped_count)
 
-    async def _drain(self) -> None:
-        clock = self.state.clock
-        started_ms = clock.now_ms()
-        end_ms = started_ms + self.state.config.bounds.grace_ms - CLOSE_RESERVE_MS
+    async def _drain(self, grace_end_ms: int) -> None:
         await asyncio.sleep(BALANCER_REMOVAL_MS / _MS_PER_S)
         # Requests that arrive after this point could not be finished before the process ends.
         self.state.closed = True
+        await self._wait_until_idle(grace_end_ms - ANSWER_RESERVE_MS)
         for listener in self._listeners:
-            listener.close_idle()
-        while clock.now_ms() < end_ms and self.state.open_requests + len(self._stages):
-            await asyncio.sleep(TICK_INTERVAL_S)
+            listener.stop_accepting()
+        self.state.log.write("process.ending", **self._open_counts())
+        self._callers.stop()
+        for listener in self._listeners:
+            listener.refuse_unfinished_heads()
+        await asyncio.sleep(LAST_REQUESTS_MS / _MS_PER_S)
+        await self._wait_until_idle(grace_end_ms - CLOSE_RESERVE_MS)
         self._stopped.set()
 
+    async def _wait_until_idle(self, end_ms: int) -> None:
+        """Closes idle connections until no other one is left, or a time has come."""
+        while self.state.clock.now_ms() < end_ms:
+            for listener in self._listeners:
+                listener.close_idle(MIN_IDLE_S)
+            if not self._busy_connections() and not len(self._stages):
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _open_counts(self) -> dict[str, Any]:
+        return {
+            "open_requests": self.state.open_requests,
+            "stages": len(self._stages),
+            "connections": self._busy_connections(),
+        }
+
+    def _busy_connections(self) -> dict[str, int]:
+        """Returns the number of connections that are not idle, by phase."""
+        phases = sum((listener.phases() for listener in self._listeners), collections.Counter())
+        del phases[caller_connection.ConnectionPhase.IDLE]
+        return {phase.value: count for phase, count in phases.items()}
+
     # ---- listeners -----------------------------------------------------------------------------
 
     async def _listen(self) -> None:
         config = self.state.config
-        services = relay.RelayServices(
-            self.state, self._adapter.requests, self._client, self._fleet
-        )
-        callers = ingress.Ingress(services)
 
-        def limits() -> listening.CallerLimits:
-            current = callers.limits
-            return listening.CallerLimits(
-                header_size_bytes=current.header_size_bytes,
-                idle_ms=current.idle_ms + IDLE_MARGIN_MS,
+        def limits() -> listening.ConnectionLimits:
+            widest = self._callers.limits
+            return listening.ConnectionLimits(
+                header_size_bytes=max(HEADER_CEILING_BYTES, widest.header_size_bytes),
+                idle_ms=widest.idle_ms + IDLE_MARGIN_MS,
+                head_ms=widest.header_ms + IDLE_MARGIN_MS,
             )
 
         serve = http_listener.HttpListener.serve
@@ -189,10 +233,13 @@
         readiness = web.Server(self._readiness)
         metrics = web.Server(self._metrics)
         self._listeners = [
-            await serve(readiness, config.readiness_address, listening.CallerLimits),
-            await serve(callers.server(), config.ingress_address, limits),
-            await serve(metrics, config.metrics_address, listening.CallerLimits),
+            await serve(readiness, config.readiness_address, listening.ConnectionLimits),
+            await serve(self._callers.server(), config.ingress_address, limits),
+            await serve(metrics, config.metrics_address, listening.ConnectionLimits),
         ]
+        if self.state.stopping:
+            for listener in self._listeners:
+                listener.start_drain()
 
     async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         del request
@@ -217,7 +264,7 @@
         except TimeoutError:
             # The kernel closes the remaining connections when the process exits.
             self.state.log.write("process.close-timeout")
-        self.state.log.write("process.stopped", open_requests=self.state.open_requests)
+        self.state.log.write("process.stopped", **self._open_counts())
         self._output.flush()
 
 
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -313,6 +313,7 @@
                     log.write("configuration.older", version=table.version, kept=known.version)
                     return
                 state.table = table
+                state.caller_limits.put(table.limits, state.clock.now_ms())
                 log.write(
                     "configuration.in-force",
                     version=table.version,
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -64,13 +64,15 @@
     head = incoming.head
     table = state.table
     if state.closed:
-        return Error(not_run_refusal(state, messages.Reason.STOPPING, STOPPING_RETRY_MS))
+        return Error(stopping_refusal(state))
     if table is None:
         reason = messages.Reason.NO_CONFIGURATION
         return Error(not_run_refusal(state, reason, NO_CONFIGURATION_RETRY_MS))
     route = table.find_route(head.host, head.path)
     if route is None:
         return Error(messages.Refusal(messages.Reason.NO_ROUTE))
+    if not _can_finish(state, route):
+        return Error(stopping_refusal(state))
     account = None
     if table.requires_key and not route.anonymous:
         account = table.accounts_by_key.get(head.key or "")
@@ -90,6 +92,14 @@
     return Ok(Admitted(route, account, service, deadline, traits, blamed))
 
 
+def _can_finish(state: states.GatewayState, route: routing.Route) -> bool:
+    """Returns whether a request of a route is expected to end before this process does."""
+    if state.answers_end_ms is None:
+        return True
+    expected_ms = state.route_duration.expected_ms(route.name)
+    return state.clock.now_ms() + expected_ms < state.answers_end_ms
+
+
 def not_run_refusal(
     state: states.GatewayState, reason: messages.Reason, retry_after_ms: int
 ) -> messages.Refusal:
@@ -98,6 +108,11 @@
     return messages.Refusal(reason, retry_after_ms=int(retry_after_ms * jitter_factor))
 
 
+def stopping_refusal(state: states.GatewayState) -> messages.Refusal:
+    """Returns the refusal of a request that has not run because the process is about to end."""
+    return not_run_refusal(state, messages.Reason.STOPPING, STOPPING_RETRY_MS)
+
+
 def _try_probe(state: states.GatewayState, blamed: crash_attribution.Trait, now_ms: int) -> bool:
     live_hosts = [state.hosts.local.address, *state.hosts.alive(now_ms)]
     return state.crashes.try_probe(blamed, live_hosts, now_ms)
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -67,6 +67,8 @@
     _in_flight: bool = False
     _answer_ms: int | None = None
     _outcome: str = ""
+    _time_limit: asyncio.Timeout | None = None
+    _is_stopped: bool = False
 
     @property
     def outcome(self) -> str:
@@ -87,17 +89,29 @@
                 return
         remaining_ms = self._deadline.remaining_ms(self._now_ms())
         try:
-            async with asyncio.timeout(remaining_ms / _MS_PER_S):
+            async with asyncio.timeout(remaining_ms / _MS_PER_S) as self._time_limit:
                 await self._serve()
         except TimeoutError:
-            await self._fail(open_answer.NoAnswer(messages.Reason.TOO_LATE))
+            self._time_limit = None
+            reason = messages.Reason.TOO_LATE
+            retry_after_ms = open_answer.NO_TARGET_RETRY_MS
+            if self._is_stopped:
+                reason, retry_after_ms = messages.Reason.STOPPING, admission.STOPPING_RETRY_MS
+            await self._fail(open_answer.NoAnswer(reason, retry_after_ms))
         except asyncio.CancelledError:
             self._outcome = self._outcome or "caller-left"
             raise
         finally:
+            self._time_limit = None
             self._stages.release()
             self._record_outcome()
 
+    def stop(self) -> None:
+        """Ends the request with its final answer now, because the process is about to end."""
+        if self._time_limit is not None and not self._time_limit.expired():
+            self._is_stopped = True
+            self._time_limit.reschedule(asyncio.get_running_loop().time())
+
     def _apply_admission(self, admitted: admission.Admitted) -> None:
         self._route = admitted.route
         self._account = admitted.account
@@ -559,6 +573,8 @@
     def _record_outcome(self) -> None:
         state = self._services.state
         duration_ms = self._now_ms() - self._incoming.arrived_ms
+        if self._outcome == "served":
+            state.route_duration.record(self._route.name, duration_ms)
         state.metrics.requests.labels(self._route.name, self._outcome).inc()
         state.metrics.request_seconds.labels(self._route.name).observe(duration_ms / _MS_PER_S)
         self._log(
