Write a final answer to its end although the deadline passes meanwhile

A caller that read slowly got a whole 200 and, behind it on the kept connection, the head and body of a 504: an answer to no request.

Cause: the deadline cancelled the write of a complete answer, and the end of the request then sent a refusal, as a buffered answer does not count as started. The write must not be cancelled at all: its bytes may be in the buffer of the connection already.

Change: the time limit ends where a final answer, complete or refused, is handed to the connection. The answer is delivered, also late.

Evidence: test_caller_that_pauses_gets_one_answer[pauses-beyond-the-deadline] failed before and passes now.

--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -112,6 +112,11 @@
             self._is_stopped = True
             self._time_limit.reschedule(asyncio.get_running_loop().time())
 
+    def _end_time_limit(self) -> None:
+        """Lets a final answer be written to its end: no other one may follow a part of it."""
+        if self._time_limit is not None and not self._time_limit.expired():
+            self._time_limit.reschedule(None)
+
     def _apply_admission(self, admitted: admission.Admitted) -> None:
         self._route = admitted.route
         self._account = admitted.account
@@ -348,6 +353,7 @@
             await self._finish_answer()
             return
         self._outcome = "served"
+        self._end_time_limit()
         await self._sink.send_complete(answer.head.status, answer.head.headers, b"".join(chunks))
 
     async def _continue_elsewhere(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult:
@@ -482,6 +488,7 @@
         failure = self._fallback
         if no_answer.passes_failure and failure is not None and not self._answer_started:
             self._outcome = f"passed-{failure.head.status}"
+            self._end_time_limit()
             await self._sink.send_complete(failure.head.status, failure.head.headers, failure.body)
         elif no_answer.reason is messages.Reason.CRASHES_TARGETS:
             await self._fail_as_crashing()
@@ -517,6 +524,7 @@
             may_have_run=refusal.may_have_run,
             retry_after_ms=refusal.retry_after_ms,
         )
+        self._end_time_limit()
         await self._sink.refuse(refusal)
 
     async def _start_answer(self, head: messages.AnswerHead) -> None:
@@ -525,6 +533,7 @@
 
     async def _finish_answer(self) -> None:
         self._outcome = "served"
+        self._end_time_limit()
         await self._sink.finish()
 
     # ---- observations --------------------------------------------------------------------------
