Keep the connection of a caller that pauses reading for some seconds

A caller that did not read for 2.5 s lost its connection in the middle of the answer, long before its deadline.

Cause: TCP_USER_TIMEOUT of 1.5 s was set on connections of callers as on those to targets. The kernel also counts the time during which the peer acknowledges but has no room.

Change: 10 s for callers. A caller that has vanished without closing its connection is noticed later by as much; one that closes it is noticed at once, as before. Connections to targets keep 1.5 s.

Evidence: test_caller_that_pauses_gets_one_answer[pauses-within-the-deadline] and [pauses-in-a-stream] failed before and pass now.

--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -58,7 +58,10 @@
         state = self._services.state
         arrived_ms = state.clock.now_ms()
         if request.transport is not None:
-            target_pool.enable_dead_peer_detection(request.transport.get_extra_info("socket"))
+            target_pool.enable_dead_peer_detection(
+                request.transport.get_extra_info("socket"),
+                user_timeout_ms=target_pool.CALLER_USER_TIMEOUT_MS,
+            )
         if _largest_line_bytes(request) > self.limits.header_size_bytes:
             sink = HttpResponseSink(self._services, request, None)
             refusal = messages.Refusal(messages.Reason.HEADER_TOO_LARGE)
--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -31,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.35
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long (RFC 5482).
 TCP_USER_TIMEOUT_MS = 1_500
+# The same for a connection of a caller. The kernel also counts the time during which the caller
+# has no room for more bytes, so this is longer than a sound caller pauses.
+CALLER_USER_TIMEOUT_MS = 10_000
 # TCP keepalive detects an unresponsive peer on an idle connection within about 3 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -59,8 +62,15 @@
 )
 
 
-def enable_dead_peer_detection(sock: socket.socket | None) -> None:
-    """Sets the socket options that make the kernel close a connection to an unresponsive peer."""
+def enable_dead_peer_detection(
+    sock: socket.socket | None, *, user_timeout_ms: int = TCP_USER_TIMEOUT_MS
+) -> None:
+    """Sets the socket options that make the kernel close a connection to an unresponsive peer.
+
+    Args:
+        sock: Socket of the connection, None if it is closed.
+        user_timeout_ms: Longest time for which sent bytes may stay unacknowledged or unsent.
+    """
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -68,7 +78,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 class TargetProtocol(client_proto.ResponseHandler):
--- a/testing/platform/test_slow_callers.py
+++ b/testing/platform/test_slow_callers.py
@@ -73,12 +73,14 @@
         pytest.param("idempotent", _answer, BODY, 1.0, 0.0, id="reads-at-once"),
         pytest.param("streaming", _stream, STREAM_END, 1.0, 0.0, id="reads-a-stream-at-once"),
         pytest.param("idempotent", _answer, BODY, 1.0, 1.2, id="pauses-beyond-the-deadline"),
+        pytest.param("idempotent", _answer, BODY, 9.0, 2.5, id="pauses-within-the-deadline"),
+        pytest.param("streaming", _stream, STREAM_END, 9.0, 2.5, id="pauses-in-a-stream"),
     ],
 )
 def test_caller_that_pauses_gets_one_answer(
     kind: str, script: stand_in.Script, end: bytes, deadline_s: float, pause_s: float
 ) -> None:
-    """Guards against a second answer behind a complete one."""
+    """Guards against a second answer behind a complete one, and against cutting a slow reader."""
 
     async def main() -> None:
         site = stand_in.GatewayEnvironment()
