--- a/testing/fault_soak/process/fleet.py
+++ b/testing/fault_soak/process/fleet.py
@@ -104,7 +104,7 @@
                     rng=random.Random(self.rng.random()),
                     # Keys that were taken away are still tried, less often.
                     keys=lambda: sorted([*self.keys] * 2 + [*KEYS]),
-                    routes=lambda: [*ROUTES, *self.added],
+                    routes=lambda: [*ROUTES, "chat", *self.added[-3:]],
                     life=functools.partial(getattr, item, "life"),
                 )
                 self._callers.append(asyncio.create_task(one.run(self._stop)))
