--- a/testing/fault_soak/connection/target.py
+++ b/testing/fault_soak/connection/target.py
@@ -66,7 +66,11 @@
             self._made -= set(json.loads(exchange.body)["handles"])
             exchange.send(200, b"{}")
         else:
-            await self._run_request(exchange)
+            try:
+                await self._run_request(exchange)
+            except asyncio.CancelledError:
+                self.record.cut_s.setdefault(exchange.request_id, time.monotonic())
+                raise
 
     async def _run_stage(self, exchange: platform_stand_in.Exchange) -> None:
         results: list[dict[str, Any]] = []
--- a/testing/fault_soak/process/run.py
+++ b/testing/fault_soak/process/run.py
@@ -60,16 +60,16 @@
         print(f"seed {seed}: {counts}", flush=True)
         for line in found:
             print(f"  {line}")
+        files = {
+            "faults": record.faults,
+            "broken": found,
+            "outcomes": [repr(item) for item in record.outcomes],
+            "runs": [repr(item) for item in record.runs],
+        }
+        for name, lines in files.items():
+            (folder / f"{name}.txt").write_text("\n".join(lines), encoding="utf-8")
         if found:
             broken += 1
-            files = {
-                "faults": record.faults,
-                "broken": found,
-                "outcomes": [repr(item) for item in record.outcomes],
-                "runs": [repr(item) for item in record.runs],
-            }
-            for name, lines in files.items():
-                (folder / f"{name}.txt").write_text("\n".join(lines), encoding="utf-8")
             print(f"  logs and faults: {folder}")
     sys.exit(1 if broken else 0)
 
--- a/testing/fault_soak/request/promises.py
+++ b/testing/fault_soak/request/promises.py
@@ -137,6 +137,8 @@
 
     outcomes: list[Outcome] = attrs.field(factory=list)
     runs: list[Run] = attrs.field(factory=list)
+    # Time at which a host first closed the connection of a request that its target was working on.
+    cut_s: dict[str, float] = attrs.field(factory=dict)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     # Time from which on a key, or a target that left, must not be used any more.
     revoked_s: dict[str, float] = attrs.field(factory=dict)
@@ -289,6 +291,12 @@
     Planned stops, reloads, returns of the store and silences of targets that go on excuse nothing.
     """
     ran = {run.request_id for run in record.runs}
+    early_cuts = {
+        outcome.request_id
+        for outcome in record.outcomes
+        if outcome.request_id in record.cut_s
+        and not _timed_out(outcome.sent_s, record.cut_s[outcome.request_id], outcome.route)
+    }
     for outcome in record.outcomes:
         span = (outcome.sent_s, outcome.ended_s, HARMLESS)
         if not record.calm(outcome.host, *span) or _cut_at_grace_end(record, outcome):
@@ -296,11 +304,14 @@
         name = f"{outcome.route} {outcome.request_id}"
         if outcome.status is None and (outcome.request_id in ran or not _crossed(outcome)):
             yield f"{name} was cut without an answer"
-        if outcome.status == 200 and not outcome.whole and not _timed_out(outcome):
+        # A request whose target was given up on had no time left because of that.
+        in_time = not _timed_out(outcome.sent_s, outcome.ended_s, outcome.route)
+        in_time = in_time or outcome.request_id in early_cuts
+        if outcome.status == 200 and not outcome.whole and in_time:
             yield f"{name} was cut in its answer"
         # Stages may run at other hosts.
         undisturbed = outcome.route != "chat" or record.calm(None, *span)
-        if undisturbed and outcome.status in (500, 502, 504) and not _timed_out(outcome):
+        if undisturbed and outcome.status in (500, 502, 504) and in_time:
             lasted_s = outcome.ended_s - outcome.sent_s
             yield f"{name} was given up with {outcome.status} after {lasted_s:.1f} s"
 
@@ -310,9 +321,9 @@
     return outcome.all_sent_s is None or outcome.ended_s < outcome.all_sent_s + CROSSING_S
 
 
-def _timed_out(outcome: Outcome) -> bool:
-    limit_s = min(DEADLINE_S, STREAM_TIMEOUT_S.get(outcome.route, PLAIN_TIMEOUT_S))
-    return outcome.ended_s - outcome.sent_s > limit_s - 0.1
+def _timed_out(sent_s: float, until_s: float, route: str) -> bool:
+    limit_s = min(DEADLINE_S, STREAM_TIMEOUT_S.get(route, PLAIN_TIMEOUT_S))
+    return until_s - sent_s > limit_s - 0.1
 
 
 def _cut_at_grace_end(record: Record, outcome: Outcome) -> bool:
--- a/testing/fault_soak/test_promises.py
+++ b/testing/fault_soak/test_promises.py
@@ -156,6 +156,16 @@
             "",
             id="silent-target-until-the-timeout-of-the-route",
         ),
+        pytest.param(
+            _record(
+                [_outcome("r", "chat", body=b"", whole=False, ended_s=15.0)],
+                [],
+                cut_s={"r": 11.0},
+                disturbances=[SILENCE],
+            ),
+            "cut in its answer",
+            id="silent-target-left-and-no-time-for-another",
+        ),
         pytest.param(
             _record(
                 [_outcome("r", "chat", status=502), _outcome("s", "read", host=1)],
