--- a/testing/fault_soak/process/faults.py
+++ b/testing/fault_soak/process/faults.py
@@ -50,8 +50,14 @@
             await asyncio.sleep(0.1)
 
 
+def _choose_host(soak: fleet.SoakFleet, rng: random.Random) -> host.SoakHost:
+    """Returns a host to which nothing is done now, if there is one."""
+    idle = [item for item in soak.hosts if not item.busy.locked()]
+    return rng.choice(idle or soak.hosts)
+
+
 async def kill_host(soak: fleet.SoakFleet, rng: random.Random) -> None:
-    item = rng.choice(soak.hosts)
+    item = _choose_host(soak, rng)
     async with item.busy:
         with _disturbed(soak, item.index, promises.Kind.KILL):
             _log(soak, f"kill host-{item.index}")
@@ -61,7 +67,7 @@
 
 
 async def stop_host(soak: fleet.SoakFleet, rng: random.Random) -> None:
-    item = rng.choice(soak.hosts)
+    item = _choose_host(soak, rng)
     async with item.busy:
         with _disturbed(soak, item.index, promises.Kind.STOP):
             _log(soak, f"stop host-{item.index}")
@@ -70,7 +76,7 @@
 
 async def stop_host_in_series(soak: fleet.SoakFleet, rng: random.Random) -> None:
     """Sends signals and changes the configuration before and after SIGTERM."""
-    item = rng.choice(soak.hosts)
+    item = _choose_host(soak, rng)
     pauses = rng.random() < 0.4
     names = ["reload", "stop", "change", *["pause"] * pauses]
     steps = rng.choices(names, k=rng.randint(2, 6))
@@ -106,7 +112,7 @@
 
 
 async def reload_host(soak: fleet.SoakFleet, rng: random.Random) -> None:
-    item = rng.choice(soak.hosts)
+    item = _choose_host(soak, rng)
     async with item.busy:
         await _reload(soak, item, rng)
 
@@ -121,7 +127,7 @@
 
 
 async def pause_host(soak: fleet.SoakFleet, rng: random.Random) -> None:
-    item = rng.choice(soak.hosts)
+    item = _choose_host(soak, rng)
     async with item.busy:
         with _disturbed(soak, item.index):
             _log(soak, f"pause host-{item.index}")
