--- a/testing/fault_soak/connection/target.py
+++ b/testing/fault_soak/connection/target.py
@@ -114,6 +114,8 @@
         closes = self._write_head(exchange, {"Content-Length": str(len(body))})
         for part in (body[:50], body[50:]):
             await self.speaks.wait()
+            if exchange.writer.is_closing():
+                return
             exchange.writer.write(part)
             await asyncio.sleep(0)
         if closes:
--- a/testing/fault_soak/process/faults.py
+++ b/testing/fault_soak/process/faults.py
@@ -22,6 +22,7 @@
 
 _Kind = Callable[[fleet.SoakFleet, random.Random], Coroutine[Any, Any, None]]
 PAUSE_S = (0.2, 1.5)
+_WATCH_S, _STALL_S = 0.1, 0.5
 _SILENT_SERVICES = ("engine", "engine", "plain", "plain", "prepare", "rank")
 
 
@@ -305,6 +306,17 @@
 }
 
 
+async def record_stalls(soak: fleet.SoakFleet) -> None:
+    """Records when the soak itself did not run, as then nothing that it saw is in time."""
+    while True:
+        start_s = time.monotonic()
+        await asyncio.sleep(_WATCH_S)
+        now_s = time.monotonic()
+        if now_s > start_s + _WATCH_S + _STALL_S:
+            _log(soak, f"the soak itself stood still for {now_s - start_s:.1f} s")
+            soak.record.disturbances.append(promises.Disturbance(None, start_s, now_s))
+
+
 async def play(soak: fleet.SoakFleet, rng: random.Random, duration_s: float) -> None:
     """Plays faults for a time and returns when the last one has ended.
 
--- a/testing/fault_soak/process/run.py
+++ b/testing/fault_soak/process/run.py
@@ -27,12 +27,14 @@
     """Plays one seed and returns what was seen."""
     rng = random.Random(seed)
     soak = fleet.SoakFleet(rng, folder, host_count)
+    stalls = asyncio.create_task(faults.record_stalls(soak))
     try:
         await soak.start()
         soak.start_callers()
         await faults.play(soak, rng, duration_s)
         await asyncio.sleep(CALM_S)
     finally:
+        stalls.cancel()
         await soak.stop()
     return soak.record
 
--- a/testing/fault_soak/request/promises.py
+++ b/testing/fault_soak/request/promises.py
@@ -343,7 +343,7 @@
     ran = {run.request_id for run in record.runs}
     for outcome in sorted(record.outcomes, key=lambda item: item.ended_s):
         host = (outcome.host, outcome.life)
-        if outcome.route in record.added_s and outcome.status not in (None, 401, 404):
+        if outcome.route in record.added_s and outcome.request_id in ran:
             seen.setdefault((*host, outcome.route), outcome.ended_s)
         if outcome.key in record.revoked_s and outcome.status == 401:
             seen.setdefault((*host, outcome.key), outcome.ended_s)
--- a/testing/fault_soak/test_promises.py
+++ b/testing/fault_soak/test_promises.py
@@ -178,7 +178,7 @@
         pytest.param(
             _record(
                 [_outcome("r", "new"), _outcome("s", "new", status=404, sent_s=10.5)],
-                [],
+                [_run("r", "new")],
                 added_s={"new": 5.0},
                 disturbances=[RETURN],
             ),
@@ -188,13 +188,26 @@
         pytest.param(
             _record(
                 [_outcome("r", "new"), _outcome("s", "new", status=404, sent_s=10.5, life=2)],
-                [],
+                [_run("r", "new")],
                 added_s={"new": 5.0},
                 disturbances=[RETURN, KILL],
             ),
             "",
             id="older-configuration-in-a-new-process",
         ),
+        pytest.param(
+            _record(
+                [
+                    _outcome("r", "new", status=503),
+                    _outcome("s", "new", status=404, sent_s=10.5),
+                ],
+                [],
+                added_s={"new": 9.0},
+                disturbances=[KILL],
+            ),
+            "",
+            id="refusal-before-the-first-configuration",
+        ),
         pytest.param(
             _record(
                 [_outcome("r", status=401), _outcome("s", sent_s=10.5)],
