--- a/testing/fault_soak/process/faults.py
+++ b/testing/fault_soak/process/faults.py
@@ -23,7 +23,7 @@
 _Kind = Callable[[fleet.SoakFleet, random.Random], Coroutine[Any, Any, None]]
 PAUSE_S = (0.2, 1.5)
 _WATCH_S, _STALL_S = 0.1, 0.5
-_SILENT_SERVICES = ("engine", "engine", "plain", "plain", "prepare", "rank")
+_SILENT_SERVICES = ("engine", "engine", "engine", "plain", "plain", "prepare", "rank")
 
 
 @contextlib.contextmanager
@@ -284,8 +284,11 @@
         soak.publish()
 
 
-HARMLESS_KINDS: dict[str, _Kind] = {
+SILENCE_KINDS: dict[str, _Kind] = {
     "configuration": change_configuration,
+    "target-silent": silence_target,
+}
+HARMLESS_KINDS: dict[str, _Kind] = SILENCE_KINDS | {
     "odd-entry": write_odd_entry,
     "reload": reload_host,
     "route": add_route,
@@ -293,7 +296,6 @@
     "stop-in-series": stop_host_in_series,
     "store-return": return_store,
     "target-leaves": replace_target,
-    "target-silent": silence_target,
     "zone": evacuate_zone,
 }
 KINDS: dict[str, _Kind] = HARMLESS_KINDS | {
@@ -320,13 +322,14 @@
 async def play(soak: fleet.SoakFleet, rng: random.Random, duration_s: float) -> None:
     """Plays faults for a time and returns when the last one has ended.
 
-    Half of the seeds play only what excuses no request from an answer. A host has one fault of its
-    processes at a time: signals to a host that is being restarted would be about the harness and
-    not about the host.
+    Two thirds of the seeds play only what excuses no request from an answer; half of these only
+    silent targets and changes of the configuration, which seldom meet otherwise. A host has one
+    fault of its processes at a time: signals to a host that is being restarted would be about the
+    harness and not about the host.
     """
     end_s = time.monotonic() + duration_s
     running: set[asyncio.Task[None]] = set()
-    kinds = rng.choice([HARMLESS_KINDS, KINDS])
+    kinds = rng.choice([SILENCE_KINDS, HARMLESS_KINDS, KINDS])
     while time.monotonic() < end_s:
         task = asyncio.create_task(kinds[rng.choice(sorted(kinds))](soak, rng))
         running.add(task)
--- a/testing/fault_soak/process/fleet.py
+++ b/testing/fault_soak/process/fleet.py
@@ -23,7 +23,7 @@
 KEYS = {"key-a": "account-a", "key-b": "account-b"}
 ROUTES = ("order", "read", "talk", "chat")
 SERVICES = {"plain": 3, "engine": 3, "prepare": 2, "rank": 2}
-CALLERS_PER_HOST = 3
+CALLERS_PER_HOST = 6
 _STORE_PORT, _TARGET_PORT = 9_000, 9_001
 # Numbers of the first loopback addresses of the proxies.
 _STORE_IPS, _TARGET_IPS = 250, 500
@@ -104,15 +104,17 @@
                     rng=random.Random(self.rng.random()),
                     # Keys that were taken away are still tried, less often.
                     keys=lambda: sorted([*self.keys] * 2 + [*KEYS]),
-                    routes=lambda: [*ROUTES, "chat", *self.added[-3:]],
+                    routes=lambda: [*ROUTES, "chat", "chat", *self.added[-3:]],
                     life=functools.partial(getattr, item, "life"),
                 )
                 self._callers.append(asyncio.create_task(one.run(self._stop)))
 
     async def stop(self) -> None:
         self._stop.set()
-        await asyncio.gather(*self._callers)
-        await asyncio.gather(*(item.kill() for item in self.hosts))
+        try:
+            await asyncio.gather(*self._callers)
+        finally:
+            await asyncio.gather(*(item.kill() for item in self.hosts))
         for middle in [*self.store_proxies, *self.target_proxies.values()]:
             await middle.close()
         for item in self.targets.values():
