--- a/testing/fault_soak/connection/target.py
+++ b/testing/fault_soak/connection/target.py
@@ -86,7 +86,8 @@
             self._made.add(handle)
             self.record.made[handle] = (item["id"], item["stage"], item["piece"])
             results.append({"handle": handle})
-        exchange.send(200, json.dumps({"items": results}).encode())
+        if not exchange.writer.is_closing():
+            exchange.send(200, json.dumps({"items": results}).encode())
 
     async def _run_request(self, exchange: platform_stand_in.Exchange) -> None:
         headers = exchange.headers
@@ -110,6 +111,8 @@
         is_long = self.rng.random() < LONG_SHARE
         await asyncio.sleep(LONG_WORK_S if is_long else WORK_S)
         await self.speaks.wait()
+        if exchange.writer.is_closing():
+            return
         body = promises.expected_body(exchange.request_id, route)
         closes = self._write_head(exchange, {"Content-Length": str(len(body))})
         for part in (body[:50], body[50:]):
