Give each port of the tests to one stand-in only

Ports were drawn at random with replacement and probed, but the stand-ins of one test bind later, so two of them could get the same port. Each port is now given once in a process.

Evidence: test_no_port_is_given_twice failed before and passes now.

--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -528,3 +528,9 @@
                     await site.start_gateway()
 
     stand_in.run(main)
+
+
+def test_no_port_is_given_twice() -> None:
+    """Guards against two stand-ins of one test that are started on the same port."""
+    count = len(stand_in.PORTS) // 4
+    assert len({stand_in.free_port() for _ in range(count)}) == count
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -41,9 +41,15 @@
 PORTS = range(12_000, 32_000)
 
 
+_untaken_ports: list[int] = []
+
+
 def free_port() -> int:
+    """Returns a port that is free now and that this process was not given before."""
     while True:
-        port = random.choice(PORTS)
+        if not _untaken_ports:
+            _untaken_ports.extend(random.sample(PORTS, len(PORTS)))
+        port = _untaken_ports.pop()
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
