Go on after a break during the search for another target as after any break

Callers saw a stream cut, or 502, if their target broke off while another one was asked to go on and that one then refused.

Cause: the search leaves out targets that have the request, as one of them is still at work on it. When that one breaks off, the restriction has no reason any more, but the outcome of the search ended the request. Beside it, results of stages that were run again for a search without success stayed at their targets until the stream ended.

Change: a failed search after a break is followed by the usual next attempt; the run is not counted again. Results are freed when a search fails.

Evidence: the seven new cases of test_silent_targets.py failed before and pass now.

--- a/src/sesamehold/request/gateway/open_answer.py
+++ b/src/sesamehold/request/gateway/open_answer.py
@@ -28,6 +28,7 @@
         started_ms: Monotonic time at which the request was sent.
         on_release: Called once, when the answer needs its target no more.
         is_counted: Whether the attempts of the request include this run.
+        is_broken: Whether it is recorded that the answer broke off.
     """
 
     target: targets.Target
@@ -35,6 +36,7 @@
     started_ms: int
     on_release: Callable[[], None]
     is_counted: bool = False
+    is_broken: bool = False
     _is_released: bool = False
 
     def release(self) -> None:
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -321,7 +321,7 @@
             if self._route.kind is routing.RequestKind.STREAMING:
                 following = await self._streams.forward(opened)
                 if following is not None:
-                    return following
+                    return Ok(following)
                 self._record_completion()
                 await self._finish_answer()
             else:
@@ -391,7 +391,9 @@
 
     def on_broken(self, opened: open_answer.OpenAnswer, error: ports.BrokenAnswerError) -> None:
         """Records that the answer of a target broke off."""
-        self._record_broken(opened.target, error, opened.started_ms)
+        if not opened.is_broken:
+            opened.is_broken = True
+            self._record_broken(opened.target, error, opened.started_ms)
 
     def may_replace(self, stalled: open_answer.OpenAnswer) -> bool:
         """Returns whether another target could go on with a stream now."""
@@ -427,6 +429,7 @@
                 self._log("attempt.replaced", target=stalled_id, by=opened.target.target_id)
             case Result(error=no_answer):
                 self._log("attempt.not-replaced", target=stalled_id, reason=no_answer.reason.value)
+                self._stages.free_inputs()
         return outcome
 
     # ---- next step -----------------------------------------------------------------------------
--- a/src/sesamehold/request/gateway/stream_forwarding.py
+++ b/src/sesamehold/request/gateway/stream_forwarding.py
@@ -60,15 +60,14 @@
     _clock: clocks.Clock
     splitter: event_stream.EventSplitter = attrs.field(factory=event_stream.EventSplitter)
 
-    async def forward(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult | None:
+    async def forward(self, opened: open_answer.OpenAnswer) -> open_answer.OpenAnswer | None:
         """Forwards a stream to its end, or until another target has taken it over.
 
         Returns:
-            None if the stream is complete. Otherwise the answer of the target that goes on with it,
-            or the reason why none does after the stream broke off.
+            None if the stream is complete, else the answer of the target that goes on with it.
 
         Raises:
-            BrokenAnswerError: The stream broke off, and no other target was asked to go on.
+            BrokenAnswerError: The stream broke off, and no other target has accepted to go on.
         """
         self.splitter.start_attempt(is_resumed=self._request.answer_started)
         reader = open_answer.ChunkReader(opened.answer.chunks())
@@ -81,7 +80,11 @@
             self._request.on_broken(opened, error)
             reader.cancel()
             opened.release()
-            return await replacement.finish()
+            outcome = await replacement.finish()
+            if outcome.is_error():
+                # The search left out the targets that the request was sent to before.
+                raise
+            return outcome.ok
         finally:
             reader.cancel()
             await replacement.cancel()
@@ -91,7 +94,7 @@
         opened: open_answer.OpenAnswer,
         reader: open_answer.ChunkReader,
         replacement: _Replacement,
-    ) -> open_answer.OpenResult | None:
+    ) -> open_answer.OpenAnswer | None:
         waiting_since_ms = self._clock.now_ms()
         is_first = True
         while True:
@@ -100,7 +103,7 @@
             if replacement.is_done:
                 outcome = await replacement.finish()
                 if outcome.is_ok():
-                    return outcome
+                    return outcome.ok
                 waiting_since_ms = self._clock.now_ms()
             if not reader.pending().done():
                 if not replacement.is_running and self._clock.now_ms() >= stall_at_ms:
--- a/testing/platform/test_silent_targets.py
+++ b/testing/platform/test_silent_targets.py
@@ -153,6 +153,103 @@
     stand_in.run(main)
 
 
+async def _late_full(exchange: Exchange) -> None:
+    await asyncio.sleep(0.5)
+    await _full(exchange)
+
+
+async def _late_reset(exchange: Exchange) -> None:
+    await asyncio.sleep(0.5)
+    exchange.reset()
+
+
+def _breaks_after(event_count: int, cut_event: bytes = b"") -> Script:
+    """Returns a script that breaks off while another target is asked to go on."""
+
+    async def script(exchange: Exchange) -> None:
+        _begin(exchange)
+        for event in EVENTS[:event_count]:
+            _write(exchange, event)
+        if cut_event:
+            _write(exchange, cut_event)
+        await asyncio.sleep(1.0)
+        exchange.reset()
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        pytest.param(_breaks_after(0), id="before-its-first-event"),
+        pytest.param(_breaks_after(2), id="between-events"),
+        pytest.param(_breaks_after(2, b"id: 3\nda"), id="within-an-event"),
+    ],
+)
+@pytest.mark.parametrize(
+    "second",
+    [
+        pytest.param(_late_full, id="the-other-is-full"),
+        pytest.param(_late_reset, id="the-other-crashes"),
+    ],
+)
+def test_stream_that_breaks_during_a_search_goes_on_where_it_may(
+    first: Script, second: Script
+) -> None:
+    """Guards against a search that leaves out targets which could take the stream by then."""
+
+    async def main() -> None:
+        scripts = iter([first, second])
+
+        async def script(exchange: Exchange) -> None:
+            await next(scripts, _rest)(exchange)
+
+        environment = _engines(script, script)
+        environment.routes[0]["attempts"] = 5
+        environment.publish()
+        async with environment:
+            gateway = await environment.start_gateway()
+            for _ in range(60):
+                gateway.state.retry_budget.record_request("svc", gateway.state.clock.now_ms())
+            data = stand_in.request("/svc/x", Deadline_Remaining="8000")
+            async with asyncio.timeout(7):
+                answer = await environment.send(data)
+            assert answer.endswith(b"0\r\n\r\n"), answer
+            assert [answer.count(event) for event in EVENTS] == [1, 1, 1, 1]
+
+    stand_in.run(main)
+
+
+def test_stage_results_of_a_search_without_success_are_freed_at_once() -> None:
+    """Guards against results that take up room until the end of a stream which cannot use them."""
+
+    async def main() -> None:
+        environment = _with_stages(_engines(_silent_after(2), _full))
+        stage = environment.workers["i-st"]
+
+        async def stage_worker(exchange: Exchange) -> None:
+            is_free = exchange.target.endswith("stage-free")
+            exchange.send(200, b"" if is_free else stand_in.stage_results(exchange))
+
+        stage.script = stage_worker
+        async with environment:
+            await environment.start_gateway()
+            data = stand_in.request("/svc/x", Deadline_Remaining="8000", Pieces="1", Piece_Key="k")
+            sending = asyncio.create_task(environment.send(data))
+
+            def calls(name: str) -> int:
+                return sum(item.target.endswith(name) for item in stage.exchanges)
+
+            while calls("stage-run") < 2:
+                await asyncio.sleep(0.01)
+            async with asyncio.timeout(0.4):
+                while calls("stage-free") < 2:
+                    await asyncio.sleep(0.01)
+            assert (await sending).endswith(b"0\r\n\r\n")
+
+    stand_in.run(main)
+
+
 class Ending:
     """Plays a script and records when it ended, also if its connection was closed."""
 
