Cancel a scheduled removal of a target that another one replaces

A host stopped using a live target until its entry changed again; callers got 503 if it was the only one.

Cause: the entry of a target that lapses while the store does not answer is removed after a grace time.

Change: a removal that is pending stays the only one, and each removal cancels what is pending.

Evidence: the cases deleted-twice-before and odd-value-before of test_target_that_registers_again_is_not_removed_for_an_earlier_lapse failed before and pass now.

--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -321,9 +321,7 @@
                     era=item.era,
                 )
             case directory_events.TargetPublished(target=target):
-                removal = self._pending_removals.pop(target.target_id, None)
-                if removal is not None:
-                    removal.cancel()
+                self._cancel_removal(target.target_id)
                 if state.directory.put(target):
                     log.write(
                         "target.published",
@@ -352,6 +350,8 @@
         if grace_ms <= 0:
             self._remove(target_id, item.revision)
             return
+        if target_id in self._pending_removals:
+            return
         loop = asyncio.get_running_loop()
         self._pending_removals[target_id] = loop.call_later(
             grace_ms / _MS_PER_S, self._remove, target_id, item.revision
@@ -372,8 +372,13 @@
                 grace_ms = max(grace_ms, contact.reconnected_ms + REMOVAL_GRACE_MS - now_ms)
         return grace_ms
 
+    def _cancel_removal(self, target_id: str) -> None:
+        removal = self._pending_removals.pop(target_id, None)
+        if removal is not None:
+            removal.cancel()
+
     def _remove(self, target_id: str, revision: int) -> None:
-        self._pending_removals.pop(target_id, None)
+        self._cancel_removal(target_id)
         self._state.directory.remove(target_id)
         self._state.ranking.forget(target_id)
         self._state.cold_rate_limit.forget(target_id)
--- a/testing/process/gateway/test_directory_watcher.py
+++ b/testing/process/gateway/test_directory_watcher.py
@@ -22,6 +22,7 @@
 from sesamehold.process.gateway import settings as gateway_settings
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import store_replica
+from sesamehold.process.gateway import targets
 
 _Listed = Result[store_replica.StoreListing, directory_events.StoreUnavailable]
 _Watched = Result[
@@ -178,3 +179,46 @@
         assert source.calls.count("list") <= 8
 
     stand_in.run(main)
+
+
+@attrs.define
+class _TargetSource(_ScriptedSource):
+    """Decodes each item as the entry of one target; its value is `ready`, odd or None."""
+
+    def decode(
+        self, item: store_replica.StoreItem, now_ms: int
+    ) -> tuple[directory_events.DirectoryEvent, ...]:
+        del now_ms
+        if item.value == b"ready":
+            target = targets.Target(item.key, 1, "svc", "127.0.0.1:1", "z1")
+            return (directory_events.TargetPublished(target),)
+        return (directory_events.TargetWithdrawn(item.key),)
+
+
+@pytest.mark.parametrize(
+    ("values", "is_kept"),
+    [
+        pytest.param([None], False, id="lapsed"),
+        pytest.param([None, b"ready"], True, id="lapsed-and-registered-again"),
+        pytest.param([None, None, b"ready"], True, id="deleted-twice-before"),
+        pytest.param([None, b"odd", b"ready"], True, id="odd-value-before"),
+    ],
+)
+def test_target_that_registers_again_is_not_removed_for_an_earlier_lapse(
+    values: list[bytes | None], is_kept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a removal that was scheduled and is forgotten without being cancelled."""
+    monkeypatch.setattr(directory_watcher, "REMOVAL_GRACE_MS", 200)
+
+    async def main() -> None:
+        watcher = _watcher(_TargetSource([]))
+        for revision, value in enumerate([b"ready", *values], start=10):
+            item = store_replica.StoreItem("i-1", value, revision)
+            horizon = store_replica.StorePosition(0, revision)
+            watcher.merge_from_peer("", store_replica.ReplicaUpdate((item,), horizon))
+            # Entries lapse while the store does not answer.
+            watcher._contacts[""].disconnected = True
+        await asyncio.sleep(0.4)
+        assert (watcher._state.directory.find("i-1") is not None) == is_kept
+
+    asyncio.run(main())
