Pass deletions of a new era on to hosts that learn of it from another host

A host without the store kept sending to a target that another host knew to have left.

Cause: the first update with a new era held no tombstones, so a key that had been deleted in the era looked like one that the store has lost, and stayed in force until the host reached the store itself.

Change: a full update carries the tombstones of its era, and a key with one counts as deleted.

Evidence: test_host_passes_on_what_was_deleted_in_a_new_era [of-the-era-before] failed before and passes now.

--- a/src/sesamehold/process/gateway/store_replica.py
+++ b/src/sesamehold/process/gateway/store_replica.py
@@ -256,9 +256,17 @@
         if era > self.horizon.era:
             earlier = [item for item in update.items if item.era < era]
             changed = self._merge(earlier, now_ms)
-        current = tuple(item for item in update.items if item.era == era)
-        listing = StoreListing(current, update.horizon.revision, era)
-        return changed + self.merge_listing(listing, now_ms)
+        current = [item for item in update.items if item.era == era]
+        existing = tuple(item for item in current if item.value is not None)
+        listing = StoreListing(existing, update.horizon.revision, era)
+        changed += self.merge_listing(listing, now_ms)
+        deletions = [item for item in current if item.value is None]
+        for item in deletions:
+            # It is missing because it was deleted in the era, not because the store has lost it.
+            if self._is_pending_deletion(item.key):
+                self._put(item, now_ms)
+                changed.append(item)
+        return changed + self._merge(deletions, now_ms)
 
     def items(self) -> Mapping[str, StoreItem]:
         """Returns the items in force by key, including tombstones."""
@@ -318,7 +326,8 @@
     def _all_items(self) -> Iterable[StoreItem]:
         for key, item in self._items.items():
             pending = self._pending.get(key)
-            if item.value is not None or pending is not None:
+            is_deletion = item.value is None and item.era == self.horizon.era
+            if item.value is not None or pending is not None or is_deletion:
                 yield item
             if pending is not None and pending.item.value is not None:
                 yield pending.item
--- a/testing/process/gateway/test_store_replica.py
+++ b/testing/process/gateway/test_store_replica.py
@@ -331,6 +331,24 @@
     assert not behind.pending()
 
 
+@pytest.mark.parametrize(
+    "behind",
+    [
+        pytest.param(_known(_form(b"1", 5)), id="of-the-era-before"),
+        pytest.param(store_replica.StoreReplica("p/", _VersionOrder()), id="just-started"),
+    ],
+)
+def test_host_passes_on_what_was_deleted_in_a_new_era(behind: store_replica.StoreReplica) -> None:
+    """Guards against a host that keeps a deleted item because it did not see the new era begin."""
+    source = _known(_form(b"1", 5))
+    source.merge_listing(store_replica.StoreListing((_form(b"1", 5, 2),), 9, 2), 100)
+    source.merge_changes([_form(None, 10, 2)], 10, 200, era=2)
+    _fetch(source, behind)
+    assert behind.horizon == store_replica.StorePosition(2, 10)
+    assert _in_force(behind) == {}
+    assert not behind.pending()
+
+
 @given(
     first=st.tuples(st.integers(0, 2**20 - 1), st.integers(0, 2**44 - 1)),
     second=st.tuples(st.integers(0, 2**20 - 1), st.integers(0, 2**44 - 1)),
