Give the hosts of the signal tests the record that the soak's hosts need

The merge of the extended soak moved GRACE_S and added a record to SoakHost, which the tests of signals use, too; they failed with TypeError and AttributeError. Nothing about what they check has changed.

--- a/testing/platform/test_signals.py
+++ b/testing/platform/test_signals.py
@@ -7,6 +7,7 @@
 import signal
 
 from fault_soak.process import host as soak_host
+from fault_soak.request import promises
 import platform_stand_in as stand_in
 from platform_stand_in import Exchange
 import pytest
@@ -44,7 +45,9 @@
         site.routes = [stand_in.route("svc", "non_idempotent", timeoutMs=20_000)]
         site.add_worker("i-0", "svc", slow)
         site.publish()
-        process = soak_host.SoakHost(0, ip, "z1", site.store.address, [], tmp_path)
+        process = soak_host.SoakHost(
+            0, ip, "z1", site.store.address, [], tmp_path, promises.Record()
+        )
         async with site:
             await process.start()
             async with asyncio.timeout(20):
@@ -69,7 +72,7 @@
             assert (await whole).endswith(b"answer")
             if TERM not in later and TERM not in during:
                 process.signal(TERM)
-            assert await process.wait(soak_host.GRACE_S) == 0
+            assert await process.wait(promises.GRACE_S) == 0
 
     stand_in.run(main)
 
@@ -91,7 +94,7 @@
         site.routes = [stand_in.route("svc", "non_idempotent")]
         site.add_worker("i-0", "svc", _ok)
         site.publish()
-        host = soak_host.SoakHost(0, ip, "z1", site.store.address, [], tmp_path)
+        host = soak_host.SoakHost(0, ip, "z1", site.store.address, [], tmp_path, promises.Record())
         async with site:
             await host.start()
             try:
@@ -101,7 +104,7 @@
                 async with asyncio.timeout(20):
                     while not await host.is_ready() and await host.wait(0.02) is None:
                         host.signal(number)
-                assert await host.wait(1.0 if number == HUP else soak_host.GRACE_S) in codes
+                assert await host.wait(1.0 if number == HUP else promises.GRACE_S) in codes
             finally:
                 await host.kill()
 
