End a stopping process only when no connection may still carry a request

A caller whose connection was opened, or last answered, within half a second before the end of a stop sent a request and found its connection reset.

Cause: the drain left such connections open, as they are about to carry a request, but then ended the process as soon as no other one was busy.

Change: the drain also waits for idle connections, which it closes after half a second without a request; the grace bounds the wait as before.

--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -193,11 +193,14 @@
         self._stopped.set()
 
     async def _wait_until_idle(self, end_ms: int) -> None:
-        """Closes idle connections until no other one is left, or a time has come."""
+        """Closes idle connections until none is left, or a time has come.
+
+        One that has not been idle for long is about to carry a request, which must be answered.
+        """
         while self.state.clock.now_ms() < end_ms:
             for listener in self._listeners:
                 listener.close_idle(MIN_IDLE_S)
-            if not self._busy_connections() and not len(self._stages):
+            if not any(listener.phases() for listener in self._listeners) and not len(self._stages):
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
--- a/testing/platform/test_stops.py
+++ b/testing/platform/test_stops.py
@@ -450,3 +450,22 @@
             await exited
 
     stand_in.run(main)
+
+
+def test_request_on_a_connection_opened_late_in_a_stop_is_refused_and_not_dropped() -> None:
+    """Guards against a process that ends while a connection is about to carry a request."""
+
+    async def main() -> None:
+        site = _site(_ok)
+        async with site:
+            gateway = await site.start_gateway()
+            gateway.start_drain()
+            await asyncio.sleep(BALANCER_REMOVAL_MS / 2 / 1_000)
+            caller = await Caller.connect(site)
+            await asyncio.sleep(BALANCER_REMOVAL_MS * 1.5 / 1_000)
+            assert not gateway._stopped.is_set()
+            caller.write(_keep())
+            assert _status(await caller.read_rest()) == 503
+            caller.close()
+
+    stand_in.run(main)
