--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -42,7 +42,7 @@
     __slots__ = (
         "_head_begun_s",
         "_is_draining",
-        "_last_body",
+        "_last_request_body",
         "_limits",
         "_socket",
     )
@@ -65,7 +65,7 @@
         self._limits = limits
         self._is_draining = False
         self._head_begun_s: float | None = None
-        self._last_body: Any = None
+        self._last_request_body: Any = None
         self._socket: asyncio.Transport | None = None
 
     @property
@@ -76,7 +76,7 @@
         if self._messages or (self._waiter is not None and self._waiter.done()):
             return ConnectionPhase.HANDLING
         if self._waiter is None and self._request_count:
-            is_reading = self._current_request is not None and not self._last_body.is_eof()
+            is_reading = self._current_request is not None and not self._last_request_body.is_eof()
             return ConnectionPhase.READING if is_reading else ConnectionPhase.HANDLING
         if self._head_begun_s is not None:
             return ConnectionPhase.READING
@@ -129,12 +129,12 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         known_count = self._request_count
-        is_in_body = self._last_body is not None and not self._last_body.is_eof()
+        is_in_body = self._last_request_body is not None and not self._last_request_body.is_eof()
         super().data_received(data)
         if self._request_count != known_count:
             self._head_begun_s = None
             if self._messages:
-                self._last_body = self._messages[-1][1]
+                self._last_request_body = self._messages[-1][1]
         # Empty lines between requests begin no head.
         elif not is_in_body and self._head_begun_s is None and data.strip(b"\r\n"):
             self._head_begun_s = self._loop.time()
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -145,7 +145,7 @@
             return
         self.state.stopping = True
         grace_end_ms = self.state.clock.now_ms() + self.state.config.bounds.grace_ms
-        self.state.answers_end_ms = grace_end_ms - ANSWER_RESERVE_MS
+        self.state.final_answers_at_ms = grace_end_ms - ANSWER_RESERVE_MS
         self.state.log.write("process.draining", open_requests=self.state.open_requests)
         self._fleet.leave()
         for listener in self._listeners:
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -37,7 +37,7 @@
 
     LISTED = "listed"
     WATCHED = "watched"
-    HISTORY_LOST = "history-lost"
+    LISTING_NEEDED = "listing-needed"
     FAILED = "failed"
 
 
@@ -86,7 +86,7 @@
                 case _Outcome.WATCHED:
                     delay_ms = self._watch_delay_ms
                     failure_ms, loss_ms = RETRY_MIN_MS, 0
-                case _Outcome.HISTORY_LOST:
+                case _Outcome.LISTING_NEEDED:
                     # The first listing is due at once. If the watch after it fails as well, a
                     # listing does not help, and the next ones wait.
                     listed = False
@@ -160,7 +160,7 @@
             listing = answer.ok
             # Meanwhile another host may have told of a new era.
             if not listing.era == asked_era == replica.horizon.era:
-                return self._on_other_era(prefix, listing.era)
+                return self._on_listing_needed(prefix, listing.era)
             self._record_answer(prefix)
             delay_ms = int(self._state.config.bounds.change_ms * CHANGE_DELAY_FRACTION)
             has_changes = listing.items or listing.invalid_entries
@@ -175,7 +175,7 @@
             return _Outcome.WATCHED
         match answer.error:
             case directory_events.HistoryLost(era=era):
-                return self._on_other_era(prefix, era)
+                return self._on_listing_needed(prefix, era)
             case directory_events.StoreUnavailable(reason=reason):
                 self._state.metrics.store_calls.labels(reason).inc()
                 return _Outcome.FAILED
@@ -194,7 +194,7 @@
         due_ms = self.replicas[prefix].next_settle_ms()
         return wait_ms if due_ms is None else max(1, min(wait_ms, due_ms - now_ms))
 
-    def _on_other_era(self, prefix: str, era: int) -> _Outcome:
+    def _on_listing_needed(self, prefix: str, era: int) -> _Outcome:
         """Handles the answer to a watch whose numbering is not the one that was asked for."""
         known = self.replicas[prefix].horizon
         if era < known.era:
@@ -207,7 +207,7 @@
             era=era,
             known_era=known.era,
         )
-        return _Outcome.HISTORY_LOST
+        return _Outcome.LISTING_NEEDED
 
     def _reject_earlier_era(self, prefix: str, era: int) -> _Outcome:
         known_era = self.replicas[prefix].horizon.era
--- a/src/sesamehold/process/gateway/item_order.py
+++ b/src/sesamehold/process/gateway/item_order.py
@@ -25,8 +25,8 @@
         self, item: store_replica.StoreItem, known: store_replica.StoreItem
     ) -> store_replica.ItemAge:
         """Returns the age of an item compared with a known form of it."""
-        ours, theirs = self._decode(item), self._decode(known)
-        match ours, theirs:
+        item_event, known_event = self._decode(item), self._decode(known)
+        match item_event, known_event:
             case (
                 directory_events.ConfigurationPublished(table=table),
                 directory_events.ConfigurationPublished(table=known_table),
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -45,8 +45,8 @@
         route_latency: Latency estimate for each route.
         table: Current routing table, None until a configuration has been read.
         stopping: Whether a graceful shutdown has begun.
-        answers_end_ms: Monotonic time at which a graceful shutdown ends open requests, None without
-            a shutdown.
+        final_answers_at_ms: Monotonic time at which a graceful shutdown ends open requests, None
+            without a shutdown.
         closed: Whether new requests are refused because the process is about to end.
         open_requests: Number of requests that have no final answer yet.
     """
@@ -68,7 +68,7 @@
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     table: routing.RoutingTable | None = None
     stopping: bool = False
-    answers_end_ms: int | None = None
+    final_answers_at_ms: int | None = None
     closed: bool = False
     open_requests: int = 0
 
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -94,10 +94,10 @@
 
 def _can_finish(state: states.GatewayState, route: routing.Route) -> bool:
     """Returns whether a request of a route is expected to end before this process does."""
-    if state.answers_end_ms is None:
+    if state.final_answers_at_ms is None:
         return True
     expected_ms = state.route_duration.expected_ms(route.name)
-    return state.clock.now_ms() + expected_ms < state.answers_end_ms
+    return state.clock.now_ms() + expected_ms < state.final_answers_at_ms
 
 
 def not_run_refusal(
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -359,14 +359,14 @@
     async def _continue_elsewhere(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult:
         """Sends the request to another target after an answer broke off, if that is allowed."""
         result = attempts.AttemptResult.UNKNOWN
-        self._count_run(opened)
+        self._count_run_once(opened)
         match self._decide_next_step(opened.target, self._attempts.next_step(result), result):
             case Result(tag="ok", ok=step):
                 return await self._open_answer(redo_stages=step is attempts.NextStep.REDO_STAGES)
             case Result(error=no_answer):
                 return Error(no_answer)
 
-    def _count_run(self, opened: open_answer.OpenAnswer) -> None:
+    def _count_run_once(self, opened: open_answer.OpenAnswer) -> None:
         if not opened.is_counted:
             opened.is_counted = True
             self._attempts.count(attempts.AttemptResult.UNKNOWN)
@@ -412,7 +412,7 @@
         result = attempts.AttemptResult.UNKNOWN
         self._log("attempt.stalled", target=stalled.target.target_id)
         self._services.state.ranking.record_failure(stalled.target, self._now_ms())
-        self._count_run(stalled)
+        self._count_run_once(stalled)
         match self._decide_next_step(stalled.target, attempts.NextStep.SEND_AGAIN, result):
             case Result(tag="ok", ok=step):
                 redo_stages = step is attempts.NextStep.REDO_STAGES
--- a/src/sesamehold/request/gateway/stream_forwarding.py
+++ b/src/sesamehold/request/gateway/stream_forwarding.py
@@ -35,10 +35,10 @@
         """Sends complete events to the caller, after the head if they are the first ones."""
 
     def on_first_event(self, opened: open_answer.OpenAnswer) -> None:
-        """Is told of the first event of a target."""
+        """Called when a target has sent its first event."""
 
     def on_broken(self, opened: open_answer.OpenAnswer, error: ports.BrokenAnswerError) -> None:
-        """Is told that the stream of a target broke off."""
+        """Called when the stream of a target broke off."""
 
     def may_replace(self, stalled: open_answer.OpenAnswer) -> bool:
         """Returns whether another target could go on with the stream now."""
