Review: a restart within a window renews the retry budget

The retries that a host has spent are known to its process only, so a process that starts again within the budget's window spends its share once more.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 "$(dirname "$0")/case.py"
