--- a/review/2/case.py
+++ b/review/2/case.py
@@ -51,9 +51,9 @@
     async def handle(exchange: fleets.Exchange) -> None:
         request = exchange.request
         found = deadly.get(request.path)
+        record.write(f"run {request.path} {request.request_id} at {exchange.worker.target_id}")
         if found is not None:
             found.arrivals_s.append(time.monotonic())
-            record.write(f"run {request.path} {request.request_id} at {exchange.worker.target_id}")
             if is_troubled:
                 record.write(f"crash {exchange.worker.target_id}")
                 exchange.worker.crash()
@@ -84,9 +84,12 @@
         while time.monotonic() < end_s:
             host = fleet.hosts[number % len(fleet.hosts)]
             number += 1
-            request = fleets.request_bytes("POST", f"/pay/s{number}", fleets.new_id(), b"order")
+            request_id = fleets.new_id()
+            request = fleets.request_bytes("POST", f"/pay/s{number}", request_id, b"order")
             reply = await fleets.ask(host, fleet.front_port, request)
-            served += reply is not None and reply.status == 200
+            status = None if reply is None else reply.status
+            record.write(f"sent /pay/s{number} {request_id} to {host.name}: {status}")
+            served += status == 200
             await asyncio.sleep(SOUND_INTERVAL_S)
 
     try:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -49,11 +49,11 @@
         request, writer = exchange.request, exchange.writer
         is_deadly = DEADLY_PART in request.headers.get("prompt-prefix", "")
         last_id = int(request.headers.get("last-event-id", "0"))
+        record.write(
+            f"run {request.request_id} at {exchange.worker.target_id} after event {last_id}"
+        )
         if is_deadly:
             deadly_arrivals_s.append(time.monotonic())
-            record.write(
-                f"run {request.request_id} at {exchange.worker.target_id} after event {last_id}"
-            )
         head = [
             "HTTP/1.1 200 OK",
             f"Request-Id: {request.request_id}",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -33,7 +33,8 @@
 class FullableWorker:
     """Runs one request at a time, queues a few, and rejects the others."""
 
-    def __init__(self, arrivals: list[tuple[float, str]]) -> None:
+    def __init__(self, record: fleets.Record, arrivals: list[tuple[float, str]]) -> None:
+        self._record = record
         self._arrivals = arrivals
         self._lock = asyncio.Lock()
         self._present = 0
@@ -41,12 +42,15 @@
     async def __call__(self, exchange: fleets.Exchange) -> None:
         """Answers one request."""
         self._arrivals.append((time.monotonic(), exchange.request.request_id))
+        what = f"{exchange.request.request_id} at {exchange.worker.target_id}"
         if self._present > QUEUE:
+            self._record.write(f"reject {what}")
             await exchange.send(503, {"Not-Run": "1"})
             return
         self._present += 1
         try:
             async with self._lock:
+                self._record.write(f"run {what}")
                 await asyncio.sleep(WORK_S)
         finally:
             self._present -= 1
@@ -65,7 +69,7 @@
     sent_s: list[float] = []
     statuses: collections.Counter[str] = collections.Counter()
     for number in range(4):
-        worker = fleet.add_worker(SERVICE, fleet.zones[number], FullableWorker(arrivals))
+        worker = fleet.add_worker(SERVICE, fleet.zones[number], FullableWorker(record, arrivals))
         worker.slots = 1
 
     async def send(number: int) -> None:
