Attribute crashes of targets in the middle of a stream

Cause: the relay recorded a broken connection only before the first event of an answer. Behind it: a request whose engine crashed after the last event was completed by the next engine, which had nothing left to send, and this cleared its traits.

Change: request/gateway/crash_evidence.py, moved out of relay.py, records every connection that a target breaks. Only an answer that one target gave from its start clears traits. An answer that cannot be used is no longer counted as a crash.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -81,6 +81,10 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+class FramingTooLargeError(aiohttp.ClientPayloadError):
+    """More than `MAX_FRAMING_BYTES` arrived without a byte of the body."""
+
+
 class TargetProtocol(client_proto.ResponseHandler):
     """Response protocol that is stricter than its base class with a misbehaving target.
 
@@ -114,7 +118,7 @@
             return
         self._framing_bytes += len(data)
         if self._framing_bytes > MAX_FRAMING_BYTES:
-            self.set_exception(aiohttp.ClientPayloadError("no body in the received bytes"))
+            self.set_exception(FramingTooLargeError("no body in the received bytes"))
             self.abort()
 
     def set_exception(self, exc: BaseException, *cause: Any) -> None:
@@ -169,10 +173,14 @@
                 if not data:
                     break
                 yield data
-        except _CONNECTION_ERRORS as error:
+        except (http_exceptions.HttpProcessingError, FramingTooLargeError) as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
+        except _CONNECTION_ERRORS as error:
+            raise ports.BrokenAnswerError(type(error).__name__, connection_broken=True) from error
         if self.delimited_by_close and self._connection.protocol.was_reset:
-            raise ports.BrokenAnswerError("connection reset before the end of the response")
+            raise ports.BrokenAnswerError(
+                "connection reset before the end of the response", connection_broken=True
+            )
 
     def release(self) -> None:
         """Returns the connection to the pool if the body was read to its end, else aborts it."""
--- a/src/sesamehold/process/gateway/crash_attribution.py
+++ b/src/sesamehold/process/gateway/crash_attribution.py
@@ -1,9 +1,9 @@
 """Attributes crashes of targets to the requests that cause them, or to a part of their prompts.
 
-When a target crashes, every request that waits for its first event there loses its connection, and
-nothing tells which of them was the cause. Each of these requests has traits: the request as a whole
-and the parts of its prompt except the last. A trait that causes crashes is found at one target
-after another and is never completed, whereas the other traits are soon completed elsewhere.
+When a target crashes, every request there loses its connection, whether its answer has begun or
+not, and nothing tells which of them was the cause. Each of these requests has traits: the request
+as a whole and the parts of its prompt except the last. A trait that causes crashes is found at one
+target after another and is never completed, whereas the other traits are soon completed elsewhere.
 
 Evidence consists of sets that hosts merge in any order, so that crashes seen by different hosts add
 up and a crash that several hosts saw counts once.
@@ -191,7 +191,7 @@
     def record_crash(
         self, traits: RequestTraits, incarnation: str, started_ms: int, now_ms: int
     ) -> None:
-        """Records that a request lost its connection to a target before its first event.
+        """Records that a request lost its connection to a target.
 
         Args:
             traits: Traits of the request.
--- a/src/sesamehold/request/gateway/open_answer.py
+++ b/src/sesamehold/request/gateway/open_answer.py
@@ -26,6 +26,7 @@
         target: The target.
         answer: Its answer.
         started_ms: Monotonic time at which the request was sent.
+        is_resumed: Whether it goes on with the stream of another target.
         on_release: Called once, when the answer needs its target no more.
         is_counted: Whether the attempts of the request include this run.
         is_broken: Whether it is recorded that the answer broke off.
@@ -35,6 +36,7 @@
     answer: ports.TargetAnswer
     started_ms: int
     on_release: Callable[[], None]
+    is_resumed: bool = False
     is_counted: bool = False
     is_broken: bool = False
     _is_released: bool = False
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -72,7 +72,16 @@
 
 
 class BrokenAnswerError(Exception):
-    """The answer of a target is incomplete."""
+    """The answer of a target is incomplete.
+
+    Attributes:
+        connection_broken: Whether the target ended the connection before the end of the answer, as
+            opposed to an answer that cannot be used.
+    """
+
+    def __init__(self, message: str, *, connection_broken: bool = False) -> None:
+        super().__init__(message)
+        self.connection_broken = connection_broken
 
 
 class TargetClient(Protocol):
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -9,12 +9,12 @@
 from expression import Ok
 from expression import Result
 
-from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import targets
 from sesamehold.request import deadline as deadlines
 from sesamehold.request.gateway import admission
 from sesamehold.request.gateway import attempts
+from sesamehold.request.gateway import crash_evidence
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import open_answer
 from sesamehold.request.gateway import ports
@@ -57,8 +57,7 @@
     _account: routing.RoutedAccount | None = None
     _service: str = ""
     _deadline: deadlines.Deadline = attrs.field(init=False)
-    _traits: crash_attribution.RequestTraits = attrs.field(init=False)
-    _probed_trait: crash_attribution.Trait | None = None
+    _crashes: crash_evidence.CrashEvidence = attrs.field(init=False)
     _search: target_search.TargetSearch = attrs.field(init=False)
     _stages: request_stages.RequestStages = attrs.field(init=False)
     _streams: stream_forwarding.StreamForwarder = attrs.field(init=False)
@@ -122,10 +121,11 @@
         self._account = admitted.account
         self._service = admitted.service
         self._deadline = admitted.deadline
-        self._traits = admitted.traits
-        self._probed_trait = admitted.probed_trait
         self._attempts = attempts.Attempts(admitted.route.repeatable, admitted.route.attempts)
         state, head = self._services.state, self._incoming.head
+        self._crashes = crash_evidence.CrashEvidence(
+            state, self._log, admitted.traits, admitted.probed_trait
+        )
         self._streams = stream_forwarding.StreamForwarder(self, admitted.route, state.clock)
         self._streams.splitter.last_id = head.last_event_id
         self._search = target_search.TargetSearch(state, admitted.route, self._service, head)
@@ -169,7 +169,7 @@
                 if failure is not None:
                     return Error(self._stages_failed(failure))
             target = await self._search.find(self._stages.results, untried_only=untried_only)
-            if self._blamed_trait() is not None:
+            if self._crashes.blamed_trait() is not None:
                 return Error(open_answer.NoAnswer(messages.Reason.CRASHES_TARGETS))
             if target is None:
                 return Error(self._no_target())
@@ -194,13 +194,18 @@
         ranking.record_start(target)
         self._in_flight = True
         is_open = False
+        is_resumed = self._streams.splitter.last_id is not None
         try:
             match await self._send(target, started_ms):
                 case Result(tag="ok", ok=answer):
                     is_open = True
                     return Ok(
                         open_answer.OpenAnswer(
-                            target, answer, started_ms, lambda: ranking.record_end(target)
+                            target,
+                            answer,
+                            started_ms,
+                            on_release=lambda: ranking.record_end(target),
+                            is_resumed=is_resumed,
                         )
                     )
                 case Result(error=result):
@@ -259,7 +264,7 @@
             return attempts.AttemptResult.NOT_SENT
         state.ranking.record_failure(target, now_ms)
         if fault.connection_broken:
-            self._record_crash(target, started_ms)
+            self._crashes.record_broken_connection(target, started_ms)
         return attempts.AttemptResult.UNKNOWN
 
     async def _handle_failure(
@@ -322,7 +327,7 @@
                 following = await self._streams.forward(opened)
                 if following is not None:
                     return Ok(following)
-                self._record_completion()
+                self._crashes.record_completion(is_resumed=opened.is_resumed)
                 await self._finish_answer()
             else:
                 await self._forward_body(opened)
@@ -348,7 +353,7 @@
                 await self._start_answer(answer.head)
                 await self._sink.send_chunk(b"".join(chunks))
         self._record_success(opened)
-        self._record_completion()
+        self._crashes.record_completion(is_resumed=opened.is_resumed)
         if self._answer_started:
             await self._finish_answer()
             return
@@ -464,7 +469,7 @@
             fallback = attempts.NextStep.PASS_ANSWER
         if self._deadline.remaining_ms(now_ms) < MIN_REMAINING_MS:
             return fallback
-        if self._blamed_trait() is not None:
+        if self._crashes.blamed_trait() is not None:
             return fallback
         if result is attempts.AttemptResult.NOT_SENT:
             return step
@@ -550,37 +555,13 @@
         state.metrics.attempt_seconds.labels(self._service).observe(seconds)
         state.metrics.attempts.labels(self._service, "answered").inc()
 
-    def _record_completion(self) -> None:
-        self._services.state.crashes.record_completion(self._traits, self._now_ms())
-
     def _record_broken(
         self, target: targets.Target, error: ports.BrokenAnswerError, started_ms: int
     ) -> None:
         self._log("attempt.broken", target=target.target_id, fault=str(error))
         self._services.state.ranking.record_failure(target, self._now_ms())
-        self._record_crash(target, started_ms)
-
-    def _record_crash(self, target: targets.Target, started_ms: int) -> None:
-        if self._streams.splitter.event_count:
-            return
-        # A further attempt would crash a further target if the probe has failed.
-        self._probed_trait = None
-        crashes = self._services.state.crashes
-        crashes.record_crash(self._traits, target.incarnation, started_ms, self._now_ms())
-        self._log(
-            "request.suspected",
-            target=target.incarnation,
-            fingerprint=self._traits.request.digest.hex(),
-            crashes=crashes.crash_count(self._traits.request),
-            parts=[part.digest.hex() for part in self._traits.parts] or None,
-            part_crashes=[crashes.crash_count(part) for part in self._traits.parts] or None,
-            blamed=blamed.digest.hex() if (blamed := self._blamed_trait()) is not None else None,
-        )
-
-    def _blamed_trait(self) -> crash_attribution.Trait | None:
-        """Returns the trait for which the request must not be sent, unless it probes it."""
-        blamed = self._services.state.crashes.blamed_trait(self._traits, self._now_ms())
-        return None if blamed == self._probed_trait else blamed
+        if error.connection_broken:
+            self._crashes.record_broken_connection(target, started_ms)
 
     def _record_outcome(self) -> None:
         state = self._services.state
--- a/src/sesamehold/request/gateway/stream_forwarding.py
+++ b/src/sesamehold/request/gateway/stream_forwarding.py
@@ -148,7 +148,10 @@
 
     def _check_end(self, opened: open_answer.OpenAnswer, *, is_first: bool) -> None:
         if self.splitter.has_partial_event or not self._request.answer_started:
-            raise ports.BrokenAnswerError("the stream ended within an event")
+            raise ports.BrokenAnswerError(
+                "the stream ended within an event",
+                connection_broken=opened.answer.delimited_by_close,
+            )
         if is_first and opened.answer.delimited_by_close:
             raise ports.BrokenAnswerError("the resumed stream ended without an event")
 
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -244,6 +244,7 @@
         self.exchanges: list[Exchange] = []
         self.connection_count = 0
         self.early_disconnect_count = 0
+        self.server: asyncio.Server | None = None
         self.port = free_port()
 
     @property
@@ -251,7 +252,13 @@
         return f"{HOST}:{self.port}"
 
     async def start(self) -> asyncio.Server:
-        return await asyncio.start_server(self._serve, HOST, self.port)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
+        return self.server
+
+    def stop(self) -> None:
+        """Refuses new connections from now on."""
+        assert self.server is not None
+        self.server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connection_count += 1
