Report new evidence on crashes first and repeat the rest by turns

Cause: the gossip always carried the four traits in most crashes, which the first four blamed requests stay for ten minutes. The same class: a host that starts learned only of these four, and of the targets that state a rate only the six that answered last were reported.

Change: process/gateway/report_rotation.py chooses both reports: changes first, each in four reports, and by turns what was reported longest ago.

--- a/src/sesamehold/process/gateway/crash_attribution.py
+++ b/src/sesamehold/process/gateway/crash_attribution.py
@@ -20,6 +20,7 @@
 import attrs
 import xxhash
 
+from sesamehold.process.gateway import report_rotation
 from sesamehold.version import rendezvous
 
 MAX_TRAITS = 10_000
@@ -37,11 +38,14 @@
 # trait that was blamed wrongly. It grows by the factor with each further crash.
 PROBE_DELAY_MS = 5_000
 PROBE_DELAY_FACTOR = 4
-# Content of the report to another host, which has to fit into a datagram beside other data: traits
-# with crashes, traits that were completed lately, and crashes of each trait.
-MAX_REPORTED_TRAITS = 4
+# Content of the report to another host, which has to fit into a datagram beside other data: bytes
+# for traits with crashes, traits that were completed lately, and crashes of each trait.
+REPORTED_EVIDENCE_BYTES = 330
 MAX_REPORTED_COMPLETIONS = 4
 MAX_REPORTED_CRASHES = 4
+# Encoded size of a trait, and of each of its crashes with one request.
+_TRAIT_BYTES = 18
+_CRASH_BYTES = 16
 REPORTED_COMPLETION_AGE_MS = 10_000
 
 
@@ -187,6 +191,9 @@
     # None if the evidence has changed since the last evaluation.
     _blamed: frozenset[Trait] | None = frozenset()
     _announced: frozenset[Trait] = frozenset()
+    _rotation: report_rotation.ReportRotation[Trait] = attrs.field(
+        factory=report_rotation.ReportRotation
+    )
 
     def record_crash(
         self, traits: RequestTraits, incarnation: str, started_ms: int, now_ms: int
@@ -278,17 +285,12 @@
                 self._add(report.trait, crash_times_ms, report.requests, report.depth)
 
     def reports(self, now_ms: int) -> list[TraitReport]:
-        """Returns the most important evidence for other hosts: first the traits in most crashes."""
+        """Returns the evidence of the next report to other hosts."""
         self._discard_expired(now_ms)
-        most_crashes = heapq.nlargest(
-            MAX_REPORTED_TRAITS,
-            self._evidence.items(),
-            key=lambda item: (
-                min(len(item[1].crash_times_ms), MAX_REPORTED_CRASHES),
-                item[1].last_crash_ms,
-            ),
+        chosen = self._rotation.choose(
+            self._evidence, REPORTED_EVIDENCE_BYTES, size=self._report_size, rank=self._urgency
         )
-        crashed = [_report(trait, evidence, now_ms) for trait, evidence in most_crashes]
+        crashed = [_report(trait, self._evidence[trait], now_ms) for trait in chosen]
         completed = [
             TraitReport(trait, completed_age_ms=now_ms - completed_ms)
             for trait, completed_ms in list(self._refuted_ms.items())[-MAX_REPORTED_COMPLETIONS:]
@@ -299,6 +301,14 @@
     def __len__(self) -> int:
         return len(self._evidence)
 
+    def _report_size(self, trait: Trait) -> int:
+        crash_count = len(self._evidence[trait].crash_times_ms)
+        return _TRAIT_BYTES + _CRASH_BYTES * min(crash_count, MAX_REPORTED_CRASHES)
+
+    def _urgency(self, trait: Trait) -> int:
+        """Returns the sort key of changed evidence: a trait in many crashes may soon be blamed."""
+        return min(len(self._evidence[trait].crash_times_ms), BLAMED_CRASHES)
+
     def _add(
         self,
         trait: Trait,
@@ -327,6 +337,7 @@
         if not any(changes):
             return
         self._evidence.move_to_end(trait)
+        self._rotation.note_change(trait)
         if len(self._evidence) > MAX_TRAITS:
             self._evidence.popitem(last=False)
         self._blamed = None
--- a/src/sesamehold/process/gateway/target_restrictions.py
+++ b/src/sesamehold/process/gateway/target_restrictions.py
@@ -15,11 +15,11 @@
 
 from collections.abc import Iterable
 import enum
-import heapq
 import random
 
 import attrs
 
+from sesamehold.process.gateway import report_rotation
 from sesamehold.process.gateway import sliding_window
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import messages
@@ -88,6 +88,11 @@
     def is_current(self, now_ms: int) -> bool:
         return self.stated_ms is not None and now_ms - self.stated_ms < STATEMENT_TTL_MS
 
+    def report(self, now_ms: int) -> StatementReport:
+        """Returns the report of a current statement."""
+        age_ms = now_ms - (self.stated_ms or 0)
+        return StatementReport(self.target_id, self.born_ms, self.max_rate_per_s, age_ms)
+
     def is_leaving(self, now_ms: int) -> bool:
         return (
             self.leaving_since_ms is not None
@@ -110,6 +115,9 @@
 
     _rng: random.Random
     _by_incarnation: dict[str, _Statements] = attrs.field(factory=dict)
+    _rotation: report_rotation.ReportRotation[str] = attrs.field(
+        factory=report_rotation.ReportRotation
+    )
 
     def record_answer(
         self, target: targets.Target, head: messages.AnswerHead, sent_ms: int, now_ms: int
@@ -152,6 +160,8 @@
                 return False
         known.max_rate_per_s = rate
         known.stated_ms = now_ms
+        if rate != previous:
+            self._rotation.note_change(target.incarnation)
         return rate != previous
 
     def max_rate_per_s(self, target: targets.Target, now_ms: int) -> float | None:
@@ -212,22 +222,21 @@
             known = self._statements(report.target_id, report.born_ms)
             stated_ms = now_ms - report.age_ms
             if known.stated_ms is None or known.stated_ms < stated_ms:
+                if known.max_rate_per_s != report.max_rate_per_s:
+                    self._rotation.note_change(
+                        targets.incarnation_of(report.target_id, report.born_ms)
+                    )
                 known.max_rate_per_s = report.max_rate_per_s
                 known.stated_ms = stated_ms
 
     def reports(self, now_ms: int) -> list[StatementReport]:
-        """Returns the latest statements, for other hosts."""
+        """Returns the statements of the next report to other hosts."""
         idle = [key for key, item in self._by_incarnation.items() if item.is_idle(now_ms)]
         for incarnation in idle:
             del self._by_incarnation[incarnation]
-        current = (
-            StatementReport(
-                known.target_id, known.born_ms, known.max_rate_per_s, now_ms - stated_ms
-            )
-            for known in self._by_incarnation.values()
-            if (stated_ms := known.stated_ms) is not None and known.is_current(now_ms)
-        )
-        return heapq.nsmallest(MAX_REPORTED_STATEMENTS, current, key=lambda report: report.age_ms)
+        current = [key for key, item in self._by_incarnation.items() if item.is_current(now_ms)]
+        chosen = self._rotation.choose(current, MAX_REPORTED_STATEMENTS)
+        return [self._by_incarnation[key].report(now_ms) for key in chosen]
 
     def __len__(self) -> int:
         return len(self._by_incarnation)
--- a/testing/lossy_gossip.py
+++ b/testing/lossy_gossip.py
@@ -19,10 +19,15 @@
     def merge(self, reports: Any, now_ms: int) -> None: ...
 
 
-def exchange(tables: Sequence[ReportTable], rng: random.Random, now_ms: int) -> None:
-    """Sends the reports of each host to a few hosts."""
+def exchange(
+    tables: Sequence[ReportTable], rng: random.Random, now_ms: int, *, has_replies: bool = False
+) -> None:
+    """Sends the reports of each host to a few hosts, which answer with theirs if asked to."""
     for table in tables:
         reports = table.reports(now_ms)
         for other in rng.sample(tables, min(FANOUT, len(tables))):
-            if rng.random() >= LOSS:
-                other.merge(reports, now_ms)
+            if rng.random() < LOSS:
+                continue
+            other.merge(reports, now_ms)
+            if has_replies and rng.random() >= LOSS:
+                table.merge(other.reports(now_ms), now_ms)
--- a/testing/process/gateway/test_crash_attribution.py
+++ b/testing/process/gateway/test_crash_attribution.py
@@ -306,3 +306,73 @@
     assert table.take_blame_changes(11_000) == ([], [])
     table.record_completion(_traits("sound", "dead"), 11_500)
     assert table.take_blame_changes(11_500) == ([], [part])
+
+
+def _blame_known_requests(
+    tables: list[crash_attribution.CrashAttribution], count: int, rng: random.Random
+) -> None:
+    """Lets all hosts know three crashes of each of some requests, for some time."""
+    for table in tables:
+        for number in rng.sample(range(count), count):
+            for crash in range(3):
+                target = f"t{number}-{crash}"
+                _crash(table, f"known{number}", "", target, 10_000 + number + 100 * crash)
+    for now_ms in range(12_000, 20_000, 400):
+        lossy_gossip.exchange(tables, rng, now_ms, has_replies=True)
+
+
+def _are_blamed(
+    tables: list[crash_attribution.CrashAttribution], names: list[str], now_ms: int
+) -> bool:
+    return all(table.blamed_trait(_traits(name), now_ms) for table in tables for name in names)
+
+
+@pytest.mark.parametrize(
+    ("new_count", "bystander_count"),
+    [
+        pytest.param(1, 5, id="one-beside-others"),
+        pytest.param(4, 0, id="four-alone"),
+        pytest.param(4, 5, id="four-beside-others"),
+    ],
+)
+@pytest.mark.parametrize("known_count", [4, 40])
+@pytest.mark.parametrize("host_count", [8, 60, 200])
+def test_new_evidence_reaches_all_hosts_beside_evidence_that_all_know(
+    host_count: int, known_count: int, new_count: int, bystander_count: int
+) -> None:
+    """Guards against known requests that fill the reports, so that each host learns alone.
+
+    Nobody completes the other requests at the targets that crash.
+    """
+    rng = random.Random(1)
+    tables = [
+        crash_attribution.CrashAttribution(f"10.0.{index // 200}.{index % 200}:1")
+        for index in range(host_count)
+    ]
+    _blame_known_requests(tables, known_count, rng)
+    names = [f"new{number}" for number in range(new_count)]
+    crash_times_ms = [20_000, 20_800, 21_200]
+    bound_ms = crash_times_ms[-1] + 3_000
+    for now_ms in range(20_000, bound_ms, 400):
+        if now_ms in crash_times_ms:
+            for name in names:
+                target = f"target-{name}-{now_ms}"
+                _crash(rng.choice(tables), name, "", target, now_ms)
+                for number in range(bystander_count):
+                    bystander = f"bystander-{number}-of-{target}"
+                    _crash(rng.choice(tables), bystander, "", target, now_ms)
+        lossy_gossip.exchange(tables, rng, now_ms, has_replies=True)
+    assert _are_blamed(tables, names, bound_ms)
+
+
+@pytest.mark.parametrize(("known_count", "bound_ms"), [(4, 3_000), (12, 3_000), (60, 20_000)])
+def test_host_that_starts_learns_of_every_blamed_request(known_count: int, bound_ms: int) -> None:
+    """Guards against evidence that is told only once, or only of the requests in most crashes."""
+    rng = random.Random(1)
+    tables = [crash_attribution.CrashAttribution(f"10.0.0.{index}:1") for index in range(8)]
+    _blame_known_requests(tables, known_count, rng)
+    tables.append(crash_attribution.CrashAttribution("10.0.0.8:1"))
+    for now_ms in range(20_000, 20_000 + bound_ms, 400):
+        lossy_gossip.exchange(tables, rng, now_ms, has_replies=True)
+    names = [f"known{number}" for number in range(known_count)]
+    assert _are_blamed(tables[-1:], names, 20_000 + bound_ms)
--- a/testing/process/gateway/test_target_restrictions.py
+++ b/testing/process/gateway/test_target_restrictions.py
@@ -254,3 +254,22 @@
         fleet.play(80_000, demand_per_s=2 * rate)
         used += sum(1 for time_ms in fleet.arrivals_ms if time_ms > 40_000 + NOTICE_MS)
     assert used >= 0.4 * rate * 3 * (40 - NOTICE_MS / 1_000)
+
+
+@pytest.mark.parametrize("target_count", [3, 12, 30])
+def test_statements_of_all_targets_reach_a_host_that_none_of_them_told(target_count: int) -> None:
+    """Guards against a few targets that answer often, whose statements fill the reports."""
+    rng = random.Random(1)
+    tables = [target_restrictions.TargetRestrictions(random.Random(index)) for index in range(9)]
+    limited = [
+        targets.Target(f"i-{index}", 1, "svc", f"10.1.0.{index}:80", "z1")
+        for index in range(target_count)
+    ]
+    for now_ms in range(10_000, 14_000, 400):
+        for index, target in enumerate(limited):
+            # The first six answer all the time, the others every 2 s.
+            if index < 6 or now_ms % 2_000 == 0:
+                tables[index % 8].record_answer(target, _head(2.0), now_ms - 10, now_ms)
+        lossy_gossip.exchange(tables, rng, now_ms)
+    known = [tables[-1].max_rate_per_s(target, 14_000) for target in limited]
+    assert known == [2.0] * target_count
