Use a small part of the retry budget in the first window of a process

Cause: a new process had its whole share of the window again, although the process before it may have spent the same share just before its end.

Change: for one window after its start, a process uses a fifth of its share, and of the fixed number a fifth that grows with its age. The stand-in gateway of the tests counts as started a window ago.

--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -95,7 +95,7 @@
             ),
             directory=targets.TargetDirectory(),
             ranking=target_ranking.TargetRanking(config.zone),
-            retry_budget=retry_budget.RetryBudget(config.bounds),
+            retry_budget=retry_budget.RetryBudget(config.bounds, clock.now_ms()),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
             restrictions=target_restrictions.TargetRestrictions(rng),
             caller_limits=caller_limits.RecentCallerLimits(config.bounds.change_ms),
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -410,6 +410,8 @@
                 # Raises the error that ended it, such as an address that is in use.
                 await self.gateway_task
             await asyncio.sleep(0.01)
+        # As if it had run for long: a process that has just started hardly retries.
+        self.gateway.state.retry_budget.started_ms -= bounds.retry_window_ms
         return self.gateway
 
     async def exit_gateway(self) -> None:
--- a/testing/process/gateway/test_gateway_shares.py
+++ b/testing/process/gateway/test_gateway_shares.py
@@ -57,7 +57,7 @@
     bounds = settings.FleetBounds(retry_ratio=0.2, retry_extra=56)
     spent = 0
     for _ in range(host_count):
-        budget = retry_budget.RetryBudget(bounds)
+        budget = retry_budget.RetryBudget(bounds, started_ms=-bounds.retry_window_ms)
         for index in range(requests):
             budget.record_request("s", index)
         spent += sum(budget.try_spend("s", host_count, 1_000) for _ in range(500))
@@ -66,7 +66,8 @@
 
 def test_retries_are_allowed_again_after_the_window() -> None:
     """Guards against a budget that is never replenished."""
-    budget = retry_budget.RetryBudget(settings.FleetBounds(retry_ratio=0.0, retry_extra=2))
+    bounds = settings.FleetBounds(retry_ratio=0.0, retry_extra=2)
+    budget = retry_budget.RetryBudget(bounds, started_ms=-bounds.retry_window_ms)
     assert [budget.try_spend("s", 1, 0) for _ in range(2)] == [True, False]
     assert budget.try_spend("s", 1, 10_001)
 
