Read the framing of one target's answers at a limited rate

What callers saw: while two workers sent chunks of one byte without end, requests of other clients to a sound service took seconds or failed; with empty lines before a head they took 0.4 s.

Cause: the limit on bytes without a body was reset by each byte of a body, so tiny chunks never met it, and it did not hold before the head.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -10,11 +10,9 @@
 import asyncio
 from collections.abc import AsyncIterator
 import socket
-from typing import Any
 from typing import Protocol
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import http_exceptions
 from aiohttp import streams
 import attrs
@@ -22,6 +20,8 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection.gateway import framing_budget
+from sesamehold.connection.gateway import target_protocol
 from sesamehold.process import clock as clocks
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import messages
@@ -50,8 +50,6 @@
 # bytes of their bodies.
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 1_048_576
-# Received bytes, such as chunk extensions, that may pass without a byte of the body.
-MAX_FRAMING_BYTES = 131_072
 _MS_PER_S = 1_000
 
 _CONNECTION_ERRORS = (
@@ -81,61 +79,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
-class FramingTooLargeError(aiohttp.ClientPayloadError):
-    """More than `MAX_FRAMING_BYTES` arrived without a byte of the body."""
-
-
-class TargetProtocol(client_proto.ResponseHandler):
-    """Response protocol that is stricter than its base class with a misbehaving target.
-
-    It distinguishes a reset from an orderly close, which the base class accepts alike as the end of
-    a body without a length. It closes a connection on which bytes arrive while no request waits, or
-    that delivers no body, and it fails the body when the framing is invalid.
-    """
-
-    was_reset: bool = False
-    is_idle: bool = False
-    body: streams.StreamReader | None = None
-    _framing_bytes: int = 0
-
-    def begin_request(self) -> None:
-        """Prepares for the response to the next request on this connection."""
-        self.is_idle = False
-        self.body = None
-        self._framing_bytes = 0
-
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes; closes the connection if they belong to no response."""
-        if self.is_idle:
-            self.abort()
-            return
-        known_bytes = self.body.total_bytes if self.body is not None else 0
-        super().data_received(data)
-        if self.body is None:
-            return
-        if self.body.total_bytes > known_bytes:
-            self._framing_bytes = 0
-            return
-        self._framing_bytes += len(data)
-        if self._framing_bytes > MAX_FRAMING_BYTES:
-            self.set_exception(FramingTooLargeError("no body in the received bytes"))
-            self.abort()
-
-    def set_exception(self, exc: BaseException, *cause: Any) -> None:
-        """Fails the pending read of the head and of the body."""
-        super().set_exception(exc, *cause)
-        if self.body is not None and not self.body.is_eof():
-            self.body.set_exception(exc)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records whether the connection was reset."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 @attrs.define(eq=False)
 class _PooledConnection:
-    protocol: TargetProtocol
+    protocol: target_protocol.TargetProtocol
     incarnation: str
     idle_since_ms: int = 0
     idle_limit_ms: int = DEFAULT_IDLE_MS
@@ -173,7 +119,7 @@
                 if not data:
                     break
                 yield data
-        except (http_exceptions.HttpProcessingError, FramingTooLargeError) as error:
+        except (http_exceptions.HttpProcessingError, target_protocol.FramingTooLargeError) as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
         except _CONNECTION_ERRORS as error:
             raise ports.BrokenAnswerError(type(error).__name__, connection_broken=True) from error
@@ -205,6 +151,7 @@
     _observer: AnswerObserver
     opened_count: int = 0
     _idle: dict[str, list[_PooledConnection]] = attrs.field(factory=dict)
+    _framing_budgets: dict[str, framing_budget.FramingBudget] = attrs.field(factory=dict)
 
     async def send(
         self,
@@ -254,6 +201,7 @@
         if (
             not complete
             or protocol.should_close
+            or protocol.has_unparsed
             or not protocol.is_connected()
             or len(idle) >= MAX_IDLE_PER_TARGET
         ):
@@ -270,7 +218,9 @@
             connection.protocol.close()
 
     def close_idle(self) -> None:
-        """Closes connections that have exceeded their idle limit."""
+        """Closes connections that have exceeded their idle limit; forgets unused budgets."""
+        for address in [key for key, item in self._framing_budgets.items() if item.is_full]:
+            del self._framing_budgets[address]
         now_ms = self._clock.now_ms()
         for address, idle in list(self._idle.items()):
             kept = []
@@ -302,9 +252,12 @@
     async def _open(self, target: targets.Target) -> _PooledConnection:
         loop = asyncio.get_running_loop()
         ip, _, port = target.address.rpartition(":")
+        budget = self._framing_budgets.setdefault(
+            target.address, framing_budget.FramingBudget(self._clock)
+        )
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, protocol = await loop.create_connection(
-                lambda: TargetProtocol(loop), ip, int(port)
+                lambda: target_protocol.TargetProtocol(loop, budget), ip, int(port)
             )
         self.opened_count += 1
         enable_dead_peer_detection(transport.get_extra_info("socket"))
@@ -327,7 +280,6 @@
                 if message.code < 200:
                     continue
                 head = self._codec.decode_answer_head(message.code, tuple(message.raw_headers))
-                protocol.body = payload
                 if _is_answer_to(request_id, head, is_reused=is_reused):
                     self._observer.on_answer(target, head, sent_ms)
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
--- a/testing/platform/test_answers_without_end.py
+++ b/testing/platform/test_answers_without_end.py
@@ -66,6 +66,7 @@
     pytest.param(lambda _: b"HTTP/1.1 200 OK\r\nA: ", b"x" * 8_192, id="header-line"),
     pytest.param(lambda _: b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 1_000, id="header-lines"),
     pytest.param(lambda _: b"", b"HTTP/1.1 102 X\r\n\r\n" * 100, id="interim-answers"),
+    pytest.param(lambda _: b"", b"\r\n" * 4_096, id="empty-lines"),
     pytest.param(
         _head(200, {"Transfer-Encoding": "chunked"}, "other"),
         b"1000\r\n" + b"x" * 4_096 + b"\r\n",
