Log how answers of targets are framed, and bytes that belong to none

Change: attempt.broken, attempt.failed and request.finished carry framing, reused and body_bytes; target.extra-bytes and sesamehold_extra_bytes_total tell where further bytes came, and which request they name. No decision changes.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 from aiohttp import http_exceptions
+from aiohttp import http_parser
 from aiohttp import streams
 import attrs
 from expression import Error
@@ -100,16 +101,16 @@
     """Response of a target, read from a pooled connection.
 
     Attributes:
-        delimited_by_close: Whether only the end of the connection marks the end of the body.
         head: Decoded head.
+        transfer: How it is transferred.
     """
 
     _pool: TargetPool
-    _address: str
+    _target: targets.Target
     _connection: _PooledConnection
     _payload: streams.StreamReader
-    delimited_by_close: bool
     head: messages.AnswerHead
+    transfer: messages.Transfer
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives; raises `BrokenAnswerError` if it is incomplete."""
@@ -118,12 +119,14 @@
                 data = await self._payload.readany()
                 if not data:
                     break
+                self.transfer.body_bytes += len(data)
                 yield data
         except (http_exceptions.HttpProcessingError, target_protocol.FramingTooLargeError) as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
         except _CONNECTION_ERRORS as error:
             raise ports.BrokenAnswerError(type(error).__name__, connection_broken=True) from error
-        if self.delimited_by_close and self._connection.protocol.was_reset:
+        is_reset = self._connection.protocol.was_reset
+        if is_reset and self.transfer.framing is messages.Framing.CLOSE:
             raise ports.BrokenAnswerError(
                 "connection reset before the end of the response", connection_broken=True
             )
@@ -131,16 +134,21 @@
     def release(self) -> None:
         """Returns the connection to the pool if the body was read to its end, else aborts it."""
         self._pool.return_connection(
-            self._address, self._connection, complete=self._payload.is_eof()
+            self._target, self._connection, complete=self._payload.is_eof()
         )
 
 
 class AnswerObserver(Protocol):
-    """Is told of each answer head that belongs to a request."""
+    """Is told what targets send."""
 
     def on_answer(self, target: targets.Target, head: messages.AnswerHead, sent_ms: int) -> None:
         """Handles the head of the answer to a request that was sent at a monotonic time."""
 
+    def on_extra_bytes(
+        self, target: targets.Target, where: messages.ExtraBytes, request_id: str | None = None
+    ) -> None:
+        """Handles bytes that belong to no answer, with the request that they name, if any."""
+
 
 @attrs.define(eq=False)
 class TargetPool:
@@ -193,11 +201,13 @@
             raise
 
     def return_connection(
-        self, address: str, connection: _PooledConnection, *, complete: bool
+        self, target: targets.Target, connection: _PooledConnection, *, complete: bool
     ) -> None:
         """Keeps a connection whose response was read completely; aborts any other one."""
         protocol = connection.protocol
-        idle = self._idle.setdefault(address, [])
+        idle = self._idle.setdefault(target.address, [])
+        if complete and protocol.has_extra_bytes:
+            self._observer.on_extra_bytes(target, messages.ExtraBytes.BEHIND_ANSWER)
         if (
             not complete
             or protocol.should_close
@@ -257,7 +267,13 @@
         )
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, protocol = await loop.create_connection(
-                lambda: target_protocol.TargetProtocol(loop, budget), ip, int(port)
+                lambda: target_protocol.TargetProtocol(
+                    loop,
+                    budget,
+                    lambda: self._observer.on_extra_bytes(target, messages.ExtraBytes.WHILE_IDLE),
+                ),
+                ip,
+                int(port),
             )
         self.opened_count += 1
         enable_dead_peer_detection(transport.get_extra_info("socket"))
@@ -283,13 +299,12 @@
                 if _is_answer_to(request_id, head, is_reused=is_reused):
                     self._observer.on_answer(target, head, sent_ms)
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
-                    delimited_by_close = head.content_length is None and not message.chunked
-                    return Ok(
-                        PooledResponse(
-                            self, target.address, connection, payload, delimited_by_close, head
-                        )
-                    )
+                    transfer = messages.Transfer(_framing(message, head), is_reused)
+                    return Ok(PooledResponse(self, target, connection, payload, head, transfer))
                 # A late response to an earlier request; the response to this one follows it.
+                self._observer.on_extra_bytes(
+                    target, messages.ExtraBytes.OTHER_ANSWER, head.request_id
+                )
                 while stale_bytes <= MAX_STALE_BYTES and (data := await payload.readany()):
                     stale_bytes += len(data)
                 if stale_bytes > MAX_STALE_BYTES:
@@ -318,6 +333,16 @@
     return head.request_id == request_id
 
 
+def _framing(
+    message: http_parser.RawResponseMessage, head: messages.AnswerHead
+) -> messages.Framing:
+    if message.chunked:
+        return messages.Framing.CHUNKS
+    if head.content_length is not None:
+        return messages.Framing.LENGTH
+    return messages.Framing.CLOSE
+
+
 def _idle_limit_ms(keep_alive_timeout_ms: int | None) -> int:
     if keep_alive_timeout_ms is None:
         return DEFAULT_IDLE_MS
--- a/src/sesamehold/connection/gateway/target_protocol.py
+++ b/src/sesamehold/connection/gateway/target_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -33,9 +34,14 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, budget: framing_budget.FramingBudget
+        self,
+        loop: asyncio.AbstractEventLoop,
+        budget: framing_budget.FramingBudget,
+        on_idle_bytes: Callable[[], None] = lambda: None,
     ) -> None:
+        """Creates the protocol; `on_idle_bytes` is called if bytes arrive while it is idle."""
         super().__init__(loop)
+        self._on_idle_bytes = on_idle_bytes
         self.was_reset = False
         self.is_idle = False
         self.body: streams.StreamReader | None = None
@@ -52,6 +58,11 @@
         """Returns whether received bytes wait to be parsed."""
         return bool(self._unparsed)
 
+    @property
+    def has_extra_bytes(self) -> bool:
+        """Returns whether bytes have arrived behind the response that was read."""
+        return self.has_unparsed or bool(self._buffer or self._tail) or self.exception() is not None
+
     def begin_request(self) -> None:
         """Prepares for the response to the next request on this connection."""
         self.is_idle = False
@@ -61,6 +72,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection if they belong to no response."""
         if self.is_idle:
+            self._on_idle_bytes()
             self.abort()
             return
         if not data:
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -23,6 +23,7 @@
     request_seconds: prometheus_client.Histogram = attrs.field(init=False)
     attempts: prometheus_client.Counter = attrs.field(init=False)
     held_back: prometheus_client.Counter = attrs.field(init=False)
+    extra_bytes: prometheus_client.Counter = attrs.field(init=False)
     attempt_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
@@ -64,6 +65,12 @@
             ["service", "restriction"],
             registry=registry,
         )
+        self.extra_bytes = counter(
+            "sesamehold_extra_bytes_total",
+            "Times that a target sent bytes that belong to no answer that a request waits for.",
+            ["service", "where"],
+            registry=registry,
+        )
         self.attempt_seconds = histogram(
             "sesamehold_attempt_answer_seconds",
             "Time from the send to the answer or the first event.",
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -173,6 +173,15 @@
                 wait_ms=head.statement.wait_ms,
             )
 
+    def on_extra_bytes(
+        self, target: targets.Target, where: messages.ExtraBytes, request_id: str | None = None
+    ) -> None:
+        """Records that a target sent bytes that belong to no answer that a request waits for."""
+        self.metrics.extra_bytes.labels(target.service, where.value).inc()
+        self.log.write(
+            "target.extra-bytes", target=target.incarnation, where=where.value, request=request_id
+        )
+
     def reload(self, config: settings.GatewaySettings) -> None:
         """Applies changed settings; listening addresses stay as they are."""
         self.config = config
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -175,6 +175,45 @@
         return 200 <= self.status < 300
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+@attrs.define
+class Transfer:
+    """How an answer of a target is transferred.
+
+    Attributes:
+        framing: What marks the end of the body.
+        is_reused: Whether the connection had carried other requests before.
+        body_bytes: Size of the part of the body that has been read.
+    """
+
+    framing: Framing
+    is_reused: bool = False
+    body_bytes: int = 0
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the fields that tell in a log line how the answer was transferred."""
+        return {
+            "framing": self.framing.value,
+            "reused": self.is_reused,
+            "body_bytes": self.body_bytes,
+        }
+
+
+class ExtraBytes(enum.Enum):
+    """Where bytes of a target were found that belong to no answer that a request waits for."""
+
+    WHILE_IDLE = "while-idle"
+    BEHIND_ANSWER = "behind-answer"
+    OTHER_ANSWER = "other-answer"
+
+
 class Reason(enum.Enum):
     """Why the gateway refused or failed a request."""
 
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -61,8 +61,8 @@
         """Returns the decoded head."""
 
     @property
-    def delimited_by_close(self) -> bool:
-        """Returns whether only the end of the connection marks the end of the body."""
+    def transfer(self) -> messages.Transfer:
+        """Returns how the answer is transferred, and how much of it has been read."""
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives; raises `BrokenAnswerError` if it is truncated."""
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -18,6 +18,7 @@
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import open_answer
 from sesamehold.request.gateway import ports
+from sesamehold.request.gateway import request_record
 from sesamehold.request.gateway import request_stages
 from sesamehold.request.gateway import stream_forwarding
 from sesamehold.request.gateway import target_search
@@ -61,14 +62,19 @@
     _search: target_search.TargetSearch = attrs.field(init=False)
     _stages: request_stages.RequestStages = attrs.field(init=False)
     _streams: stream_forwarding.StreamForwarder = attrs.field(init=False)
+    _record: request_record.RequestRecord = attrs.field(init=False)
     _answer_started: bool = False
     _fallback: _BufferedAnswer | None = None
     _in_flight: bool = False
-    _answer_ms: int | None = None
     _outcome: str = ""
     _time_limit: asyncio.Timeout | None = None
     _is_stopped: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        self._record = request_record.RequestRecord(
+            self._services.state, self._incoming.head.request_id, self._incoming.arrived_ms
+        )
+
     @property
     def outcome(self) -> str:
         """Returns how the request ended, for logs and metrics."""
@@ -103,7 +109,7 @@
         finally:
             self._time_limit = None
             self._stages.release()
-            self._record_outcome()
+            self._record_end()
 
     def stop(self) -> None:
         """Ends the request with its final answer now, because the process is about to end."""
@@ -120,11 +126,12 @@
         self._route = admitted.route
         self._account = admitted.account
         self._service = admitted.service
+        self._record.admit(admitted.route, admitted.service)
         self._deadline = admitted.deadline
         self._attempts = attempts.Attempts(admitted.route.repeatable, admitted.route.attempts)
         state, head = self._services.state, self._incoming.head
         self._crashes = crash_evidence.CrashEvidence(
-            state, self._log, admitted.traits, admitted.probed_trait
+            state, self._record.write, admitted.traits, admitted.probed_trait
         )
         self._streams = stream_forwarding.StreamForwarder(self, admitted.route, state.clock)
         self._streams.splitter.last_id = head.last_event_id
@@ -199,6 +206,7 @@
             match await self._send(target, started_ms):
                 case Result(tag="ok", ok=answer):
                     is_open = True
+                    self._record.on_opened(answer.transfer)
                     return Ok(
                         open_answer.OpenAnswer(
                             target,
@@ -256,13 +264,9 @@
     def _handle_fault(
         self, target: targets.Target, fault: ports.ExchangeFault, started_ms: int
     ) -> attempts.AttemptResult:
-        state = self._services.state
-        now_ms = self._now_ms()
-        self._log("attempt.failed", target=target.target_id, fault=fault.kind, sent=fault.sent)
+        self._record.on_fault(target, fault)
         if not fault.sent:
-            state.ranking.record_unreachable(target, now_ms)
             return attempts.AttemptResult.NOT_SENT
-        state.ranking.record_failure(target, now_ms)
         if fault.connection_broken:
             self._crashes.record_broken_connection(target, started_ms)
         return attempts.AttemptResult.UNKNOWN
@@ -279,13 +283,13 @@
         try:
             body = await self._read_body(answer)
         except ports.BrokenAnswerError as error:
-            self._record_broken(target, error, started_ms)
+            self._record_broken(target, answer, error, started_ms)
             return (
                 attempts.AttemptResult.NOT_RUN if head.not_run else attempts.AttemptResult.UNKNOWN
             )
         finally:
             answer.release()
-        self._record_failure_answer(target, head, result)
+        self._record.on_failure_answer(target, answer, result)
         if (
             result in {attempts.AttemptResult.FAILED, attempts.AttemptResult.ANSWERED}
             and body is not None
@@ -293,21 +297,6 @@
             self._fallback = _BufferedAnswer(head, body)
         return result
 
-    def _record_failure_answer(
-        self, target: targets.Target, head: messages.AnswerHead, result: attempts.AttemptResult
-    ) -> None:
-        state = self._services.state
-        now_ms = self._now_ms()
-        if result is attempts.AttemptResult.ANSWERED:
-            return
-        self._log(
-            "attempt.failed", target=target.target_id, status=head.status, result=result.value
-        )
-        if result is attempts.AttemptResult.NOT_RUN:
-            state.ranking.record_rejection(target, now_ms)
-        if result is not attempts.AttemptResult.INPUTS_GONE:
-            state.ranking.record_failure(target, now_ms)
-
     async def _read_body(self, answer: ports.TargetAnswer) -> bytes | None:
         chunks: list[bytes] = []
         size_bytes = 0
@@ -352,7 +341,7 @@
             if size_bytes > MAX_BUFFERED_BYTES:
                 await self._start_answer(answer.head)
                 await self._sink.send_chunk(b"".join(chunks))
-        self._record_success(opened)
+        self._record.on_success(opened)
         self._crashes.record_completion(is_resumed=opened.is_resumed)
         if self._answer_started:
             await self._finish_answer()
@@ -391,14 +380,14 @@
 
     def on_first_event(self, opened: open_answer.OpenAnswer) -> None:
         """Records that a target answers, and frees the inputs that it has read."""
-        self._record_success(opened)
+        self._record.on_success(opened)
         self._stages.free_inputs()
 
     def on_broken(self, opened: open_answer.OpenAnswer, error: ports.BrokenAnswerError) -> None:
         """Records that the answer of a target broke off."""
         if not opened.is_broken:
             opened.is_broken = True
-            self._record_broken(opened.target, error, opened.started_ms)
+            self._record_broken(opened.target, opened.answer, error, opened.started_ms)
 
     def may_replace(self, stalled: open_answer.OpenAnswer) -> bool:
         """Returns whether another target could go on with a stream now."""
@@ -415,7 +404,7 @@
     async def open_replacement(self, stalled: open_answer.OpenAnswer) -> open_answer.OpenResult:
         """Sends the request to other targets until one accepts to go on with a stalled stream."""
         result = attempts.AttemptResult.UNKNOWN
-        self._log("attempt.stalled", target=stalled.target.target_id)
+        self._record.write("attempt.stalled", target=stalled.target.target_id)
         self._services.state.ranking.record_failure(stalled.target, self._now_ms())
         self._count_run_once(stalled)
         match self._decide_next_step(stalled.target, attempts.NextStep.SEND_AGAIN, result):
@@ -431,9 +420,13 @@
         stalled_id = stalled.target.target_id
         match outcome:
             case Result(tag="ok", ok=opened):
-                self._log("attempt.replaced", target=stalled_id, by=opened.target.target_id)
+                self._record.write(
+                    "attempt.replaced", target=stalled_id, by=opened.target.target_id
+                )
             case Result(error=no_answer):
-                self._log("attempt.not-replaced", target=stalled_id, reason=no_answer.reason.value)
+                self._record.write(
+                    "attempt.not-replaced", target=stalled_id, reason=no_answer.reason.value
+                )
                 self._stages.free_inputs()
         return outcome
 
@@ -450,7 +443,7 @@
         if step is attempts.NextStep.SEND_AGAIN and self._stages.inputs_freed:
             step = attempts.NextStep.REDO_STAGES
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
-            self._log("attempt.again", target=target.target_id, after=result.value)
+            self._record.write("attempt.again", target=target.target_id, after=result.value)
             return Ok(step)
         reason = messages.Reason.OUTCOME_UNKNOWN
         if not self._attempts.may_have_run:
@@ -475,7 +468,7 @@
             return step
         host_count = len(state.hosts.known_addresses(now_ms))
         if not state.retry_budget.try_spend(self._service, host_count, now_ms):
-            self._log("attempt.budget-used-up", service=self._service)
+            self._record.write("attempt.budget-used-up", service=self._service)
             return fallback
         return step
 
@@ -486,7 +479,7 @@
         return open_answer.NoAnswer(messages.Reason.NO_TARGET, retry_after_ms)
 
     def _stages_failed(self, failure: ports.StageFailure) -> open_answer.NoAnswer:
-        self._log("request.stages-failed", reason=failure.kind)
+        self._record.write("request.stages-failed", reason=failure.kind)
         return open_answer.NoAnswer(messages.Reason.STAGES_FAILED, failure.retry_after_ms)
 
     # ---- ends without an answer of a target ----------------------------------------------------
@@ -526,7 +519,7 @@
 
     async def _refuse(self, refusal: messages.Refusal) -> None:
         self._outcome = f"refused-{refusal.reason.value}"
-        self._log(
+        self._record.write(
             "request.refused",
             reason=refusal.reason.value,
             may_have_run=refusal.may_have_run,
@@ -544,54 +537,28 @@
         self._end_time_limit()
         await self._sink.finish()
 
-    # ---- observations --------------------------------------------------------------------------
-
-    def _record_success(self, opened: open_answer.OpenAnswer) -> None:
-        state = self._services.state
-        self._answer_ms = self._now_ms() - opened.started_ms
-        state.ranking.record_latency(opened.target, self._answer_ms)
-        state.route_latency.record(self._route.name, self._answer_ms)
-        seconds = self._answer_ms / _MS_PER_S
-        state.metrics.attempt_seconds.labels(self._service).observe(seconds)
-        state.metrics.attempts.labels(self._service, "answered").inc()
-
     def _record_broken(
-        self, target: targets.Target, error: ports.BrokenAnswerError, started_ms: int
+        self,
+        target: targets.Target,
+        answer: ports.TargetAnswer,
+        error: ports.BrokenAnswerError,
+        started_ms: int,
     ) -> None:
-        self._log("attempt.broken", target=target.target_id, fault=str(error))
-        self._services.state.ranking.record_failure(target, self._now_ms())
+        self._record.on_broken(target, answer, error)
         if error.connection_broken:
             self._crashes.record_broken_connection(target, started_ms)
 
-    def _record_outcome(self) -> None:
-        state = self._services.state
-        duration_ms = self._now_ms() - self._incoming.arrived_ms
-        if self._outcome == "served":
-            state.route_duration.record(self._route.name, duration_ms)
-        state.metrics.requests.labels(self._route.name, self._outcome).inc()
-        state.metrics.request_seconds.labels(self._route.name).observe(duration_ms / _MS_PER_S)
-        self._log(
-            "request.finished",
-            outcome=self._outcome,
-            duration_ms=duration_ms,
+    def _record_end(self) -> None:
+        results = self._stages.results
+        self._record.on_end(
+            self._outcome,
             stages_ms=self._stages.duration_ms,
-            answer_ms=self._answer_ms,
             targets=sorted(self._search.tried),
-            zone=self._stages.results.zone if self._stages.results is not None else None,
+            zone=None if results is None else results.zone,
             runs=self._attempts.runs,
             rejected=self._attempts.rejected,
         )
 
-    def _log(self, event: str, **fields: object) -> None:
-        state = self._services.state
-        state.log.write(
-            event,
-            request=self._incoming.head.request_id,
-            route=self._route.name if self._service else None,
-            version=state.table.version if state.table is not None else None,
-            **fields,
-        )
-
     def _urgency(self) -> int:
         priority = self._route.priority
         if self._account is not None and self._account.priority is not None:
--- a/src/sesamehold/request/gateway/stream_forwarding.py
+++ b/src/sesamehold/request/gateway/stream_forwarding.py
@@ -13,6 +13,7 @@
 
 from sesamehold.process import clock as clocks
 from sesamehold.request.gateway import event_stream
+from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import open_answer
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
@@ -150,9 +151,9 @@
         if self.splitter.has_partial_event or not self._request.answer_started:
             raise ports.BrokenAnswerError(
                 "the stream ended within an event",
-                connection_broken=opened.answer.delimited_by_close,
+                connection_broken=_ends_with_connection(opened),
             )
-        if is_first and opened.answer.delimited_by_close:
+        if is_first and _ends_with_connection(opened):
             raise ports.BrokenAnswerError("the resumed stream ended without an event")
 
     def _stall_limit_ms(self, *, is_first: bool) -> int:
@@ -164,6 +165,10 @@
         return max(limit_ms, self._route.latency_goal_ms) if is_first else limit_ms
 
 
+def _ends_with_connection(opened: open_answer.OpenAnswer) -> bool:
+    return opened.answer.transfer.framing is messages.Framing.CLOSE
+
+
 @attrs.define(eq=False)
 class _Replacement:
     """Search for a target that goes on with a stalled stream."""
--- a/testing/request/gateway/test_stream_forwarding.py
+++ b/testing/request/gateway/test_stream_forwarding.py
@@ -48,7 +48,9 @@
 
     steps: Sequence[Step]
     head: messages.AnswerHead = messages.AnswerHead(200, (), sealed=True)
-    delimited_by_close: bool = False
+    transfer: messages.Transfer = attrs.field(
+        factory=lambda: messages.Transfer(messages.Framing.CHUNKS)
+    )
     release_count: int = 0
 
     async def chunks(self) -> AsyncIterator[bytes]:
