Test that an answer does not take in the answer behind it

Two of the hypotheses are reproduced over loopback, with a gateway and scripted targets: an answer without a length with another answer behind it (of the same request or of an earlier one, at once or late, whole or cut), and an answer with a length that breaks off and whose rest is filled with the answer behind it. Streams without a length do the same.

--- /dev/null
+++ b/testing/platform/test_second_answers.py
@@ -0,0 +1,197 @@
+"""Tests targets that answer a request twice, or begin an answer that another one follows."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import platform_stand_in as stand_in
+import pytest
+
+BODY = b"ticket 4711 is open\n" * 20
+EVENTS = [b"id: %d\ndata: e%d\n\n" % (index, index) for index in range(1, 5)]
+
+
+def _head(exchange: stand_in.Exchange, status: int, *fields: str, own_id: str = "") -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {own_id or exchange.request_id}", *fields]
+    return ("\r\n".join([*lines, "Server-Seal: s"]) + "\r\n\r\n").encode()
+
+
+def _framed(exchange: stand_in.Exchange, framing: str, body: bytes, own_id: str = "") -> bytes:
+    """Encodes an answer with a length, in two chunks, or without a length."""
+    fields = {"length": [f"Content-Length: {len(body)}"], "chunks": ["Transfer-Encoding: chunked"]}
+    head = _head(exchange, 200, *fields.get(framing, []), own_id=own_id)
+    if framing != "chunks":
+        return head + body
+    halves = [body[: len(body) // 2], body[len(body) // 2 :]]
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(half), half) for half in halves) + b"0\r\n\r\n"
+
+
+async def _write_in_pieces(exchange: stand_in.Exchange, data: bytes, piece_bytes: int) -> None:
+    for start in range(0, len(data), piece_bytes):
+        exchange.writer.write(data[start : start + piece_bytes])
+        await exchange.writer.drain()
+        await asyncio.sleep(0.002)
+
+
+def _status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1]) if answer.startswith(b"HTTP/1.") else 0
+
+
+def _body(answer: bytes) -> bytes:
+    return answer.partition(b"\r\n\r\n")[2]
+
+
+@attrs.frozen
+class Stutter:
+    """How a target follows its first answer, which has no length, by another one.
+
+    Attributes:
+        first_bytes: Size of the part of the body that the first answer has.
+        delay_s: Time between the answers.
+        framing: Framing of the second answer.
+        second_bytes: Size of the part of the second answer that is sent, None for all of it.
+        own_id: Request that the second answer names, empty for the same request.
+        piece_bytes: Size of the parts in which both answers are written.
+    """
+
+    first_bytes: int = len(BODY)
+    delay_s: float = 0.0
+    framing: str = "length"
+    second_bytes: int | None = None
+    own_id: str = ""
+    piece_bytes: int = 65_536
+
+
+STUTTERS = [
+    pytest.param(Stutter(), id="at-once"),
+    pytest.param(Stutter(delay_s=0.1), id="late"),
+    pytest.param(Stutter(framing="chunks"), id="second-in-chunks"),
+    pytest.param(Stutter(framing="none", delay_s=0.1), id="second-without-length"),
+    pytest.param(Stutter(piece_bytes=7), id="in-pieces"),
+    pytest.param(Stutter(own_id="r0"), id="of-an-earlier-request"),
+    pytest.param(Stutter(first_bytes=150), id="first-breaks-off"),
+    pytest.param(Stutter(first_bytes=0), id="first-has-no-body"),
+    pytest.param(Stutter(second_bytes=12), id="second-cut-in-its-status-line"),
+    pytest.param(Stutter(second_bytes=40), id="second-cut-in-its-head"),
+    pytest.param(Stutter(second_bytes=200, delay_s=0.05), id="second-cut-in-its-body"),
+]
+
+
+@pytest.mark.parametrize("stutter", STUTTERS)
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_answer_without_length_does_not_take_in_the_answer_behind_it(
+    kind: str, stutter: Stutter
+) -> None:
+    """Guards against a success whose body is two answers."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            if runs > 1:
+                exchange.send(200, BODY)
+                return
+            first = _framed(exchange, "none", BODY[: stutter.first_bytes])
+            second = _framed(exchange, stutter.framing, BODY, stutter.own_id)
+            await _write_in_pieces(exchange, first, stutter.piece_bytes)
+            await asyncio.sleep(stutter.delay_s)
+            await _write_in_pieces(exchange, second[: stutter.second_bytes], stutter.piece_bytes)
+            exchange.writer.close()
+
+        answer = await _ask(kind, script)
+        if kind == "idempotent":
+            assert _status(answer) == 200
+            assert _body(answer) == BODY
+        else:
+            assert _status(answer) == 502, answer
+            assert runs == 1
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("first_bytes", [0, 150, len(BODY) - 20])
+@pytest.mark.parametrize("piece_bytes", [7, 65_536])
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_answer_that_breaks_off_is_not_filled_up_by_the_answer_behind_it(
+    kind: str, piece_bytes: int, first_bytes: int
+) -> None:
+    """Guards against a success of the right length with the bytes of two answers."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            whole = _framed(exchange, "length", BODY)
+            if runs > 1:
+                exchange.writer.write(whole)
+                return
+            await _write_in_pieces(exchange, whole[: len(whole) - len(BODY) + first_bytes], 65_536)
+            await _write_in_pieces(exchange, whole, piece_bytes)
+
+        answer = await _ask(kind, script)
+        if kind == "idempotent":
+            assert _status(answer) == 200
+            assert _body(answer) == BODY
+        else:
+            assert _status(answer) == 502, answer
+            assert runs == 1
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("framing", ["chunks", "none"])
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize("event_count", [2, len(EVENTS)])
+def test_stream_does_not_take_in_the_answer_behind_it(
+    event_count: int, framing: str, *, resumable: bool
+) -> None:
+    """Guards against a head inside a stream, and against events of two runs."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            known = int(exchange.headers.get("last-event-id", "0"))
+            if runs > 1:
+                exchange.writer.write(_framed(exchange, "length", b"".join(EVENTS[known:])))
+                return
+            begun = b"".join(EVENTS[:event_count])
+            exchange.writer.write(_framed(exchange, "none", begun))
+            await exchange.writer.drain()
+            await asyncio.sleep(0.02)
+            exchange.writer.write(_framed(exchange, framing, b"".join(EVENTS)))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        answer = await _ask("streaming", script, resumable=resumable, gapAimMs=400)
+        assert answer.count(b"HTTP/1.1") == 1, answer
+        assert all(answer.count(event) <= 1 for event in EVENTS)
+        if answer.endswith(b"0\r\n\r\n"):
+            assert all(event in answer for event in EVENTS)
+        assert runs == 1 or resumable
+
+    stand_in.run(main)
+
+
+def _site(
+    kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
+) -> stand_in.GatewayEnvironment:
+    site = stand_in.GatewayEnvironment()
+    site.routes = [stand_in.route("svc", kind, attempts=2, **route)]
+    for index in range(worker_count):
+        site.add_worker(f"i-{index}", "svc", script)
+    site.publish()
+    return site
+
+
+async def _ask(kind: str, script: stand_in.Script, worker_count: int = 2, **route: object) -> bytes:
+    async with _site(kind, script, worker_count, **route) as site:
+        await site.start_gateway()
+        return await site.send(stand_in.request("/svc/x", "r1"))
