Refuse answers whose body holds the head of another answer

Cause: the end of an answer was taken from its framing alone. An answer without a length takes in everything up to the end of the connection, and one with a length that breaks off takes in the answer behind it. The request id of the second head was never looked at, as it stood where the body was due. Streams took it for an event.

Change: the connection layer looks for such a head in every body, of requests, streams and stage calls alike, and reports the answer as broken; the relay then does what it does after any break: it sends a request that may be repeated again, and says that the outcome is unknown for any other one. It is logged as target.extra-bytes with where=in-answer.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -21,6 +21,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection.gateway import embedded_heads
 from sesamehold.connection.gateway import framing_budget
 from sesamehold.connection.gateway import target_protocol
 from sesamehold.process import clock as clocks
@@ -111,16 +112,21 @@
     _payload: streams.StreamReader
     head: messages.AnswerHead
     transfer: messages.Transfer
+    _is_mixed: bool = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives; raises `BrokenAnswerError` if it is incomplete."""
+        """Yields the body as it arrives; raises `BrokenAnswerError` if it is no whole body."""
+        scanner = embedded_heads.EmbeddedHeadScanner(self._is_answer_head)
         try:
             while True:
                 data = await self._payload.readany()
                 if not data:
                     break
                 self.transfer.body_bytes += len(data)
-                yield data
+                if part := scanner.feed(data):
+                    yield part
+                if scanner.has_found_head:
+                    break
         except (http_exceptions.HttpProcessingError, target_protocol.FramingTooLargeError) as error:
             raise ports.BrokenAnswerError(type(error).__name__) from error
         except _CONNECTION_ERRORS as error:
@@ -130,12 +136,26 @@
             raise ports.BrokenAnswerError(
                 "connection reset before the end of the response", connection_broken=True
             )
+        if scanner.has_found_head or (scanner.has_head_start and not self._is_end_certain):
+            self._is_mixed = True
+            self._pool.on_mixed_answer(self._target, self.head)
+            raise ports.BrokenAnswerError("another answer begins in the body")
+        if rest := scanner.finish():
+            yield rest
 
     def release(self) -> None:
         """Returns the connection to the pool if the body was read to its end, else aborts it."""
-        self._pool.return_connection(
-            self._target, self._connection, complete=self._payload.is_eof()
-        )
+        is_complete = self._payload.is_eof() and not self._is_mixed
+        self._pool.return_connection(self._target, self._connection, complete=is_complete)
+
+    @property
+    def _is_end_certain(self) -> bool:
+        """Returns whether the framing tells the end of the body, and nothing came behind it."""
+        ends_with_connection = self.transfer.framing is messages.Framing.CLOSE
+        return not ends_with_connection and not self._connection.protocol.has_extra_bytes
+
+    def _is_answer_head(self, status: int, headers: messages.HeaderPairs) -> bool:
+        return self._pool.is_answer_head(status, headers)
 
 
 class AnswerObserver(Protocol):
@@ -222,6 +242,15 @@
         protocol.is_idle = True
         idle.append(connection)
 
+    def is_answer_head(self, status: int, headers: messages.HeaderPairs) -> bool:
+        """Returns whether a status and headers can be those of a target's answer."""
+        head = self._codec.decode_answer_head(status, headers)
+        return head.request_id is not None or head.sealed
+
+    def on_mixed_answer(self, target: targets.Target, head: messages.AnswerHead) -> None:
+        """Reports an answer whose body holds another answer."""
+        self._observer.on_extra_bytes(target, messages.ExtraBytes.IN_ANSWER, head.request_id)
+
     def close_idle_to(self, address: str) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -212,6 +212,7 @@
     WHILE_IDLE = "while-idle"
     BEHIND_ANSWER = "behind-answer"
     OTHER_ANSWER = "other-answer"
+    IN_ANSWER = "in-answer"
 
 
 class Reason(enum.Enum):
