Do not send a request again whose caller has a part of the answer

Cause: answers of more than 256 KiB are passed on before they have ended. When such an answer broke off, the request was sent again like one whose caller has nothing yet, and the next answer went into the same response. Only streams can be continued, as their events are numbered.

Change: the step after a break is a refusal once the caller has a part of an answer that is no stream, so the connection is cut and the answer does not look complete. The caller may ask again.

--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -454,12 +454,15 @@
     def _check_limits(
         self, step: attempts.NextStep, result: attempts.AttemptResult
     ) -> attempts.NextStep:
-        """Returns the step, or a fallback if deadline or retry budget forbid another send."""
+        """Returns the step, or a fallback if the request cannot be sent again now."""
         state = self._services.state
         now_ms = self._now_ms()
         fallback = attempts.NextStep.REFUSE
         if self._fallback is not None:
             fallback = attempts.NextStep.PASS_ANSWER
+        if self._answer_started and self._route.kind is not routing.RequestKind.STREAMING:
+            # Only a stream can go on where the part that the caller has received ends.
+            return attempts.NextStep.REFUSE
         if self._deadline.remaining_ms(now_ms) < MIN_REMAINING_MS:
             return fallback
         if self._crashes.blamed_trait() is not None:
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -11,6 +11,9 @@
 BODY = b"ticket 4711 is open\n" * 20
 EVENTS = [b"id: %d\ndata: e%d\n\n" % (index, index) for index in range(1, 5)]
 
+# More than the relay buffers before the caller receives the first byte.
+LARGE_BODY = bytes(range(256)) * 2_344
+
 
 def _head(exchange: stand_in.Exchange, status: int, *fields: str, own_id: str = "") -> bytes:
     lines = [f"HTTP/1.1 {status} X", f"Request-Id: {own_id or exchange.request_id}", *fields]
@@ -144,6 +147,36 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+@pytest.mark.parametrize("second_framing", ["length", "chunks"])
+def test_answer_that_the_caller_has_begun_to_receive_is_not_joined_with_another(
+    framing: str, second_framing: str
+) -> None:
+    """Guards against a large answer that breaks off and is followed by that of the next target."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            if runs > 1:
+                exchange.writer.write(_framed(exchange, second_framing, LARGE_BODY))
+                return
+            exchange.writer.write(_framed(exchange, framing, LARGE_BODY)[:450_000])
+            await exchange.writer.drain()
+            await asyncio.sleep(0.05)
+            exchange.reset()
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 200
+        assert len(answer) < 455_000
+        assert not answer.endswith(b"0\r\n\r\n")
+        assert runs == 1
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("framing", ["chunks", "none"])
 @pytest.mark.parametrize("resumable", [True, False])
 @pytest.mark.parametrize("event_count", [2, len(EVENTS)])
