Send a request to the same target again on another connection

Cause: an answer is matched by the id of the request, which both attempts share. A connection that has carried an attempt can still deliver answers to it.

Change: a further attempt at the same start of a target never uses a pooled connection. The connections of the attempts before are left in the pool, where a late answer closes them or is skipped by its id.

--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -197,13 +197,16 @@
         """Sends the request once and waits for the head of the answer."""
         ranking = self._services.state.ranking
         started_ms = self._now_ms()
+        # A late answer to the attempt before carries the same id, so it must come on another
+        # connection.
+        may_reuse = self._route.repeatable and target.incarnation not in self._search.tried
         self._search.tried.add(target.incarnation)
         ranking.record_start(target)
         self._in_flight = True
         is_open = False
         is_resumed = self._streams.splitter.last_id is not None
         try:
-            match await self._send(target, started_ms):
+            match await self._send(target, started_ms, may_reuse=may_reuse):
                 case Result(tag="ok", ok=answer):
                     is_open = True
                     self._record.on_opened(answer.transfer)
@@ -227,7 +230,7 @@
                 ranking.record_end(target)
 
     async def _send(
-        self, target: targets.Target, started_ms: int
+        self, target: targets.Target, started_ms: int, *, may_reuse: bool
     ) -> Result[ports.TargetAnswer, attempts.AttemptResult]:
         """Returns a successful answer whose body is still to be read, or the result."""
         order = messages.SendOptions(
@@ -248,7 +251,7 @@
                 target,
                 head + (body or b""),
                 self._incoming.head.request_id,
-                reuse=self._route.repeatable,
+                reuse=may_reuse,
             )
         finally:
             release_timer.cancel()
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -177,6 +177,35 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.1])
+@pytest.mark.parametrize("first_status", [500, 503])
+def test_second_answer_of_an_attempt_is_not_taken_for_that_of_the_next_attempt(
+    first_status: int, delay_s: float
+) -> None:
+    """Guards against a failure for a request whose second run succeeds."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            if runs > 1:
+                await asyncio.sleep(0.15)
+                exchange.send(200, BODY)
+                return
+            fields = ["Content-Length: 2", *(["Not-Run: 1"] if first_status == 503 else [])]
+            failure = _head(exchange, first_status, *fields) + b"no"
+            exchange.writer.write(failure)
+            asyncio.get_running_loop().call_later(delay_s, exchange.writer.write, failure)
+
+        answer = await _ask("idempotent", script, worker_count=1)
+        assert _status(answer) == 200, answer
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("framing", ["chunks", "none"])
 @pytest.mark.parametrize("resumable", [True, False])
 @pytest.mark.parametrize("event_count", [2, len(EVENTS)])
