Refuse a head that is joined from two answers

Callers can get the status or the seal of an earlier answer with the body of their own one: a success for a request that its target answered with 404.

Cause: the head of a late answer may break off on a connection in use. The parser takes the status line behind it for the rest of a reason phrase or of a header value, and what follows for further headers, of which the last request id counts.

Change: a head with a status line behind its own is no answer; the connection is closed, and the outcome of the attempt is unknown.

--- a/src/sesamehold/connection/gateway/embedded_heads.py
+++ b/src/sesamehold/connection/gateway/embedded_heads.py
@@ -1,4 +1,4 @@
-"""Finds the head of another answer in the body of an answer.
+"""Finds the head of another answer within an answer.
 
 A target that answers twice, or that answers again after it broke off, sends a head where the body
 of the answer before is due. The framing does not show that if the body ends with the connection, or
@@ -90,6 +90,16 @@
         return held
 
 
+def is_joined_head(reason: str, headers: messages.HeaderPairs) -> bool:
+    """Returns whether a head has a status line behind its own, as if another head broke off in it.
+
+    >>> is_joined_head("OK", ((b"X-Note", b"abHTTP/1.1 404 Not Found"),))
+    True
+    """
+    values = b"\n".join([reason.encode("utf-8", "surrogateescape"), *(v for _, v in headers)])
+    return _STATUS_LINE.search(values) is not None
+
+
 def _read_head(data: bytes) -> _Head | _Extent:
     """Reads a head from the start of some bytes."""
     status_line, *lines = data.split(b"\n")
--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -324,6 +324,9 @@
                 message, payload = await protocol.read()
                 if message.code < 200:
                     continue
+                if embedded_heads.is_joined_head(message.reason, tuple(message.raw_headers)):
+                    protocol.abort()
+                    return Error(ports.ExchangeFault("joined-heads", sent=True))
                 head = self._codec.decode_answer_head(message.code, tuple(message.raw_headers))
                 if _is_answer_to(request_id, head, is_reused=is_reused):
                     self._observer.on_answer(target, head, sent_ms)
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -206,6 +206,34 @@
     stand_in.run(main)
 
 
+_LATE_HEAD = b"HTTP/1.1 200 X\r\nRequest-Id: r0\r\nServer-Seal: s\r\nX-Note: abc\r\n"
+
+
+@pytest.mark.parametrize("cut_bytes", range(1, len(_LATE_HEAD) + 1))
+def test_head_that_breaks_off_does_not_change_the_answer_behind_it(cut_bytes: int) -> None:
+    """Guards against the status or seal of an earlier answer on the answer of a request."""
+
+    async def main() -> None:
+        used: set[asyncio.StreamWriter] = set()
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            if exchange.request_id == "r0":
+                used.add(exchange.writer)
+                exchange.send(200, b"earlier", Keep_Alive="timeout=60")
+                return
+            if exchange.writer in used:
+                exchange.writer.write(_LATE_HEAD[:cut_bytes])
+            exchange.writer.write(_head(exchange, 404, "Content-Length: 4") + b"none")
+
+        async with _site("idempotent", script, worker_count=1) as site:
+            await site.start_gateway()
+            await site.send(stand_in.request("/svc/x", "r0"))
+            answer = await site.send(stand_in.request("/svc/x", "r1"))
+            assert _status(answer) != 200, answer
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("framing", ["chunks", "none"])
 @pytest.mark.parametrize("resumable", [True, False])
 @pytest.mark.parametrize("event_count", [2, len(EVENTS)])
