Let targets of the fault soak answer twice

Change: 6 in 100 plain answers are followed by a second one on the same connection, at once or up to 0.2 s later, also while the connection is at work on another request, and a third of these first answers break off. The check of bodies is as before. Excused from "is not given up" are requests that got a status and whose own answer met another one, as their end cannot be told.

--- a/testing/fault_soak/connection/target.py
+++ b/testing/fault_soak/connection/target.py
@@ -19,6 +19,10 @@
 LONG_WORK_S, LONG_SHARE = 1.5, 0.05
 EVENT_S = 0.04
 CLOSE_SHARE = 0.3
+# Answers that are followed by a second one, and those of them that break off before it.
+SECOND_SHARE = 0.06
+BREAK_SHARE = 0.3
+SECOND_DELAYS_S = (0.0, 0.01, 0.2)
 
 
 @attrs.define(eq=False)
@@ -42,6 +46,8 @@
     stand_in: platform_stand_in.WorkerStandIn = attrs.field(init=False)
     _server: asyncio.Server | None = None
     _made: set[str] = attrs.field(factory=set)
+    # Request that a connection is at work on.
+    _current: dict[asyncio.StreamWriter, str] = attrs.field(factory=dict)
     _count: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -66,11 +72,14 @@
             self._made -= set(json.loads(exchange.body)["handles"])
             exchange.send(200, b"{}")
         else:
+            self._current[exchange.writer] = exchange.request_id
             try:
                 await self._run_request(exchange)
             except asyncio.CancelledError:
                 self.record.cut_s.setdefault(exchange.request_id, time.monotonic())
                 raise
+            finally:
+                del self._current[exchange.writer]
 
     async def _run_stage(self, exchange: platform_stand_in.Exchange) -> None:
         results: list[dict[str, Any]] = []
@@ -115,15 +124,43 @@
             return
         body = promises.expected_body(exchange.request_id, route)
         closes = self._write_head(exchange, {"Content-Length": str(len(body))})
-        for part in (body[:50], body[50:]):
+        is_second = self.rng.random() < SECOND_SHARE
+        size_bytes = len(body)
+        if is_second and self.rng.random() < BREAK_SHARE:
+            size_bytes = self.rng.randrange(size_bytes)
+        if is_second and (closes or size_bytes < len(body)):
+            self.record.mixed.add(exchange.request_id)
+        for part in (body[: min(50, size_bytes)], body[50:size_bytes]):
             await self.speaks.wait()
             if exchange.writer.is_closing():
                 return
             exchange.writer.write(part)
             await asyncio.sleep(0)
+        if is_second:
+            await self._answer_again(exchange, body, waits=closes or size_bytes < len(body))
         if closes:
             exchange.writer.close()
 
+    async def _answer_again(
+        self, exchange: platform_stand_in.Exchange, body: bytes, *, waits: bool
+    ) -> None:
+        """Sends a whole second answer, maybe while the connection is at work on another request."""
+        delay_s = self.rng.choice(SECOND_DELAYS_S)
+        if waits:
+            await asyncio.sleep(delay_s)
+            self._write_second(exchange, body)
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._write_second, exchange, body)
+
+    def _write_second(self, exchange: platform_stand_in.Exchange, body: bytes) -> None:
+        if exchange.writer.is_closing():
+            return
+        at_work = self._current.get(exchange.writer)
+        if at_work is not None:
+            self.record.mixed.add(at_work)
+        exchange.send(200, body)
+
     async def _send_events(self, exchange: platform_stand_in.Exchange, after: int) -> None:
         await self.speaks.wait()
         fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
--- a/testing/fault_soak/request/promises.py
+++ b/testing/fault_soak/request/promises.py
@@ -139,6 +139,8 @@
     runs: list[Run] = attrs.field(factory=list)
     # Time at which a host first closed the connection of a request that its target was working on.
     cut_s: dict[str, float] = attrs.field(factory=dict)
+    # Requests whose answer met another one on its connection, so that its end cannot be told.
+    mixed: set[str] = attrs.field(factory=set)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     # Time from which on a key, or a target that left, must not be used any more.
     revoked_s: dict[str, float] = attrs.field(factory=dict)
@@ -301,6 +303,8 @@
         span = (outcome.sent_s, outcome.ended_s, HARMLESS)
         if not record.calm(outcome.host, *span) or _cut_at_grace_end(record, outcome):
             continue
+        if outcome.request_id in record.mixed and outcome.status is not None:
+            continue
         name = f"{outcome.route} {outcome.request_id}"
         if outcome.status is None and (outcome.request_id in ran or not _crossed(outcome)):
             yield f"{name} was cut without an answer"
