Find a head in a body without its blank line, in linear time

Callers got a success with the bytes of two answers as its body, and a length that fits: an answer in chunks breaks off within a chunk, another answer in chunks follows, and the chunk ends with the last header of it. The end of the chunk takes the blank line, the next bytes are a size of a chunk, and the rest is in order. The scanner asked for the blank line and took the head for text. Also missed: a head that is split behind a reason with a digit or a slash, and one of more than 8 KiB.

A head now counts as found with the first header that only answers have, and each line is read once.

--- a/src/sesamehold/connection/gateway/embedded_heads.py
+++ b/src/sesamehold/connection/gateway/embedded_heads.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import enum
 import re
 from typing import TypeAlias
 
@@ -23,7 +22,9 @@
 
 _VERSION = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?")
-_STATUS_LINE_START = re.compile(
+_STATUS_LINE_START = re.compile(rb"HTTP/1\.(?:[01](?: (?:[0-9]{0,2}|[0-9]{3}(?: [^\r\n]*)?))?)?\r?")
+# A body that ends within such a line is more likely to be cut off than to quote a status line.
+_PLAIN_STATUS_LINE_START = re.compile(
     rb"HTTP/1\.(?:[01](?: (?:[0-9]{0,2}|[0-9]{3}(?: [A-Za-z' -]*)?))?)?\r?"
 )
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
@@ -31,22 +32,15 @@
 _FIELD_START = re.compile(_TOKEN + rb"*(?::[^\r\n]*)?\r?")
 
 
-class _Extent(enum.Enum):
-    """How much of a head there is, if it is not a whole one."""
-
-    NOTHING = enum.auto()
-    START = enum.auto()
-
-
-_Head: TypeAlias = tuple[int, messages.HeaderPairs]
-
-
 @attrs.define
 class EmbeddedHeadScanner:
     r"""Passes a body on up to the head of another answer.
 
+    A head counts as found with the first header that the filter accepts. Its blank line may be
+    missing: it can be taken for the end of a chunk that broke off.
+
     Attributes:
-        has_found_head: Whether the body holds the whole head of another answer.
+        has_found_head: Whether the body holds the head of another answer.
 
     >>> scanner = EmbeddedHeadScanner(lambda status, headers: True)
     >>> scanner.feed(b"abHTT"), scanner.feed(b"P/1.1 200 OK\r\nX: y\r\n\r\nab")
@@ -58,37 +52,65 @@
     _is_answer_head: HeadFilter
     has_found_head: bool = False
     _held: bytes = b""
+    # Lines of the held bytes that were read, and the status in the first of them.
+    _read_bytes: int = 0
+    _status: int | None = None
 
     @property
     def has_head_start(self) -> bool:
         """Returns whether the body so far ends within something that may be a head."""
-        return self._held.startswith(_VERSION)
+        if self._status is not None:
+            return True
+        return _PLAIN_STATUS_LINE_START.fullmatch(self._held) is not None
+
+    @property
+    def has_version_start(self) -> bool:
+        """Returns whether the body so far ends as a head may begin, if only with one byte."""
+        return self._status is not None or bool(self._held)
 
     def feed(self, data: bytes) -> bytes:
         """Adds a part of the body; returns what is certain to lie before any other head."""
         data = self._held + data if self._held else data
-        self._held = b""
-        position = data.find(_VERSION)
-        while position >= 0:
-            head = _read_head(data[position : position + MAX_HEAD_BYTES])
-            if head is _Extent.START and len(data) - position < MAX_HEAD_BYTES:
-                self._held = data[position:]
-                return data[:position]
-            if not isinstance(head, _Extent) and self._is_answer_head(*head):
+        head_start, position = 0, self._read_bytes
+        while True:
+            if self._status is None:
+                head_start = data.find(_VERSION, position)
+                if head_start < 0:
+                    return self._hold(data, len(data) - _overlap_bytes(data))
+                line_end = data.find(b"\n", head_start, head_start + MAX_HEAD_BYTES)
+                if line_end < 0 and _may_be_start(_STATUS_LINE_START, data, head_start):
+                    return self._hold(data, head_start)
+                status = _STATUS_LINE.fullmatch(data, head_start, max(line_end, head_start))
+                if status is None:
+                    position = head_start + len(_VERSION)
+                    continue
+                self._status = int(status.group(1))
+                position = line_end + 1
+            line_end = data.find(b"\n", position)
+            if line_end < 0 and _may_be_start(_FIELD_START, data, position):
+                if len(data) - head_start >= MAX_HEAD_BYTES:
+                    head_start = position
+                return self._hold(data, head_start, position - head_start)
+            field = _FIELD.fullmatch(data, position, max(line_end, position))
+            if field is None:
+                self._status = None
+                continue
+            if self._is_answer_head(self._status, ((field.group(1), field.group(2).strip()),)):
                 self.has_found_head = True
-                return data[:position]
-            position = data.find(_VERSION, position + len(_VERSION))
-        held_bytes = _overlap_bytes(data)
-        if held_bytes:
-            self._held = data[-held_bytes:]
-            return data[:-held_bytes]
-        return data
+                return data[:head_start]
+            position = line_end + 1
 
     def finish(self) -> bytes:
         """Returns the rest of a body that has ended without another head."""
         held, self._held = self._held, b""
         return held
 
+    def _hold(self, data: bytes, start: int, read_bytes: int = 0) -> bytes:
+        """Holds bytes back from a position on; returns those before it."""
+        self._held = data[start:]
+        self._read_bytes = read_bytes
+        return data[:start]
+
 
 def is_joined_head(reason: str, headers: messages.HeaderPairs) -> bool:
     """Returns whether a head has a status line behind its own, as if another head broke off in it.
@@ -100,24 +122,10 @@
     return _STATUS_LINE.search(values) is not None
 
 
-def _read_head(data: bytes) -> _Head | _Extent:
-    """Reads a head from the start of some bytes."""
-    status_line, *lines = data.split(b"\n")
-    if not lines:
-        is_start = _STATUS_LINE_START.fullmatch(status_line)
-        return _Extent.START if is_start else _Extent.NOTHING
-    status = _STATUS_LINE.fullmatch(status_line)
-    if status is None:
-        return _Extent.NOTHING
-    headers: list[tuple[bytes, bytes]] = []
-    for line in lines[:-1]:
-        if line in {b"", b"\r"}:
-            return int(status.group(1)), tuple(headers)
-        field = _FIELD.fullmatch(line)
-        if field is None:
-            return _Extent.NOTHING
-        headers.append((field.group(1), field.group(2).strip()))
-    return _Extent.START if _FIELD_START.fullmatch(lines[-1]) else _Extent.NOTHING
+def _may_be_start(pattern: re.Pattern[bytes], data: bytes, position: int) -> bool:
+    """Returns whether the rest of some bytes is short enough, and fit, to be part of a line."""
+    is_short = len(data) - position < MAX_HEAD_BYTES
+    return is_short and pattern.fullmatch(data, position) is not None
 
 
 def _overlap_bytes(data: bytes) -> int:
--- a/testing/connection/test_embedded_heads.py
+++ b/testing/connection/test_embedded_heads.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from hypothesis import given
 from hypothesis import strategies
 import pytest
@@ -69,3 +71,39 @@
     passed, scanner = _scan(_split(b"body" + HEAD[:cut_bytes], size_bytes))
     assert scanner.has_head_start
     assert passed == b"body"
+
+
+@pytest.mark.parametrize("size_bytes", [1, 7, 65_536])
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nticket 4711\n", id="no-blank-line"),
+        pytest.param(b"HTTP/1.1 200 As of 9/2\r\nRequest-Id: r1\r\n\r\n", id="unusual-reason"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\n" + b"X-Note: ab\r\n" * 900 + b"Request-Id: r1\r\n\r\n", id="long"
+        ),
+    ],
+)
+def test_head_is_found_that_is_no_usual_one(head: bytes, size_bytes: int) -> None:
+    """Guards against a second answer that is missed because of the form of its head."""
+    _, scanner = _scan(_split(b"body" + head + b"ab", size_bytes))
+    assert scanner.has_found_head
+
+
+@pytest.mark.parametrize(
+    ("unit", "size_bytes"),
+    [
+        pytest.param(b"HTTP/1.1 200 OK\nX: ", 65_536, id="heads-in-headers"),
+        pytest.param(b"HTTP/1.1 200 \n", 65_536, id="status-lines"),
+        pytest.param(b"HTTP/1.", 65_536, id="versions"),
+        pytest.param(b"HTTP/1.1 200 OK\n" + b"X: y\n" * 1_600, 1, id="bytes-of-a-long-head"),
+    ],
+)
+def test_time_of_a_scan_is_proportional_to_the_size_of_the_body(
+    unit: bytes, size_bytes: int
+) -> None:
+    """Guards against a target that keeps the loop busy with a small body."""
+    body = (unit * 20_000)[:131_072] if size_bytes > 1 else unit
+    started_s = time.process_time()
+    _scan(_split(body, size_bytes))
+    assert time.process_time() - started_s < 0.8
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -270,6 +270,33 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("second_framing", ["length", "chunks"])
+def test_answer_in_chunks_is_whole_wherever_it_breaks_off(second_framing: str) -> None:
+    """Guards against an answer in chunks that is joined with the answer behind it."""
+
+    async def main() -> None:
+        seen: set[str] = set()
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            whole = _framed(exchange, "chunks", BODY)
+            second = _framed(exchange, second_framing, BODY)
+            if exchange.request_id not in seen:
+                seen.add(exchange.request_id)
+                exchange.writer.write(whole[: int(exchange.request_id)])
+            exchange.writer.write(second)
+
+        async with _site("idempotent", script) as site:
+            await site.start_gateway()
+            joined = []
+            for cut_bytes in range(100, 520):
+                answer = await site.send(stand_in.request("/svc/x", str(cut_bytes)))
+                if _status(answer) == 200 and _body(answer) != BODY:
+                    joined.append(cut_bytes)
+            assert joined == []
+
+    stand_in.run(main)
+
+
 def _site(
     kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
 ) -> stand_in.GatewayEnvironment:
