Tell the end of a connection from extra bytes behind an answer

Every answer without a length was logged as one with extra bytes behind it and counted in sesamehold_extra_bytes_total, as the end of the connection leaves an exception too. A sound answer that ends like a head and whose target closes the connection could be refused for the same reason.

The test failed for answers without a length before this change (30 of 30 requests are served, the counter is not empty).

--- a/src/sesamehold/connection/gateway/target_protocol.py
+++ b/src/sesamehold/connection/gateway/target_protocol.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 from aiohttp import streams
 
 from sesamehold.connection.gateway import framing_budget
@@ -24,6 +25,9 @@
     """More than `MAX_FRAMING_BYTES` arrived without a byte of the body."""
 
 
+_INVALID_BYTES_ERRORS = (http_exceptions.HttpProcessingError, FramingTooLargeError)
+
+
 class TargetProtocol(client_proto.ResponseHandler):
     """Response protocol that is stricter than its base class with a misbehaving target.
 
@@ -61,7 +65,12 @@
     @property
     def has_extra_bytes(self) -> bool:
         """Returns whether bytes have arrived behind the response that was read."""
-        return self.has_unparsed or bool(self._buffer or self._tail) or self.exception() is not None
+        return self.has_unparsed or bool(self._buffer or self._tail) or self.has_invalid_bytes
+
+    @property
+    def has_invalid_bytes(self) -> bool:
+        """Returns whether bytes have arrived that are no part of a response."""
+        return isinstance(self.exception(), _INVALID_BYTES_ERRORS)
 
     def begin_request(self) -> None:
         """Prepares for the response to the next request on this connection."""
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -297,6 +297,27 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_connection_that_ends_behind_an_answer_is_no_extra_byte(framing: str) -> None:
+    """Guards against log lines that blame a target that closes its connections."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            exchange.writer.write(_framed(exchange, framing, BODY))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        async with _site("idempotent", script) as site:
+            gateway = await site.start_gateway()
+            for index in range(30):
+                answer = await site.send(stand_in.request("/svc/x", f"r{index}"))
+                assert _body(answer) == BODY
+            extra_bytes = gateway.state.metrics.extra_bytes.collect()
+            assert [sample for metric in extra_bytes for sample in metric.samples] == []
+
+    stand_in.run(main)
+
+
 def _site(
     kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
 ) -> stand_in.GatewayEnvironment:
