Refuse a body whose last bytes begin the next status line

Callers got a success of the right length with a wrong end: an answer with a length lacks 1 to 6 bytes, and the first ones of the next status line fill it up. The scanner counted only a whole "HTTP/1." as the start of a head. The rest of the status line is no response, which shows the fault; a whole second answer behind a body that ends with an H does not.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -136,7 +136,10 @@
             raise ports.BrokenAnswerError(
                 "connection reset before the end of the response", connection_broken=True
             )
-        if scanner.has_found_head or (scanner.has_head_start and not self._is_end_certain):
+        has_cut_head = scanner.has_head_start and not self._is_end_certain
+        # The rest of a status line is no response, so it shows where the line began.
+        has_cut_version = scanner.has_version_start and self._connection.protocol.has_invalid_bytes
+        if scanner.has_found_head or has_cut_head or has_cut_version:
             self._is_mixed = True
             self._pool.on_mixed_answer(self._target, self.head)
             raise ports.BrokenAnswerError("another answer begins in the body")
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -270,6 +270,30 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("missing_bytes", range(1, 8))
+def test_answer_that_lacks_a_few_bytes_is_not_filled_up_by_the_answer_behind_it(
+    missing_bytes: int,
+) -> None:
+    """Guards against a body whose last bytes are the first ones of the next status line."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            whole = _framed(exchange, "length", BODY)
+            if runs == 1:
+                await _write_in_pieces(exchange, whole[:-missing_bytes], 65_536)
+            exchange.writer.write(whole)
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 200
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("second_framing", ["length", "chunks"])
 def test_answer_in_chunks_is_whole_wherever_it_breaks_off(second_framing: str) -> None:
     """Guards against an answer in chunks that is joined with the answer behind it."""
