Find heads of answers that name no request in a body

Callers got a success whose body held a refusal with Not-Run, a 400 for a request without an id or an answer to a stage call: none of them has to carry an id or a seal, the only headers that made a status line a head. Not-Run and Server-Load, which only targets send, count as well now.

The new test has a row for each of the three and for answers with and without a length; rows failed before this change and pass with it.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -248,7 +248,9 @@
     def is_answer_head(self, status: int, headers: messages.HeaderPairs) -> bool:
         """Returns whether a status and headers can be those of a target's answer."""
         head = self._codec.decode_answer_head(status, headers)
-        return head.request_id is not None or head.sealed
+        is_marked = head.request_id is not None or head.sealed
+        # Refusals and answers to stage calls may name no request.
+        return is_marked or head.not_run or head.load is not None
 
     def on_mixed_answer(self, target: targets.Target, head: messages.AnswerHead) -> None:
         """Reports an answer whose body holds another answer."""
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -294,6 +294,43 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    "second",
+    [
+        pytest.param(b"503 X\r\nNot-Run: 1\r\nContent-Length: 0", id="not-run"),
+        pytest.param(b"400 X\r\nNot-Run: 1\r\nContent-Length: 2", id="without-an-id"),
+        pytest.param(b"200 X\r\nServer-Load: 1,0,6\r\nContent-Length: 2", id="of-a-stage"),
+    ],
+)
+@pytest.mark.parametrize("framing", ["length", "none"])
+def test_answer_does_not_take_in_an_answer_that_names_no_request(
+    framing: str, second: bytes
+) -> None:
+    """Guards against an answer in a body whose head has neither an id nor a seal."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            whole = _framed(exchange, framing, BODY)
+            if runs > 1:
+                exchange.send(200, BODY)
+                return
+            await _write_in_pieces(exchange, whole[:-100], 65_536)
+            exchange.writer.write(b"HTTP/1.1 " + second + b"\r\n\r\n")
+            exchange.writer.write(b"no" * 50)
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 200
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("second_framing", ["length", "chunks"])
 def test_answer_in_chunks_is_whole_wherever_it_breaks_off(second_framing: str) -> None:
     """Guards against an answer in chunks that is joined with the answer behind it."""
