Refuse a body in a transfer coding that is not removed

Callers got the packed bytes of an answer with "Transfer-Encoding: gzip" or "gzip, chunked" as its body: only chunks are removed, and the header concerns one connection, so it was not passed on. Such an answer is handled like one with a Content-Encoding.

--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -34,6 +34,8 @@
         b"content-length",
     }
 )
+# Transfer codings that the connection removes, or that change nothing.
+_TRANSPARENT_CODINGS = frozenset({b"", b"chunked", b"identity"})
 # Headers that only the gateway may set on requests to a worker.
 _RESERVED_HEADERS = frozenset(
     {
@@ -134,7 +136,7 @@
             headers=_forwardable_headers(headers, values, frozenset()),
             request_id=None if request_id is None else request_id.decode("latin-1"),
             sealed=names.SERVER_SEAL in values,
-            encoded=values.get(b"content-encoding", b"identity").lower() != b"identity",
+            encoded=_is_encoded(headers, values),
             not_run=names.NOT_RUN in values,
             wrong_target=status == _STATUS_WRONG_TARGET,
             load=_parse_load(values.get(names.SERVER_LOAD)),
@@ -227,6 +229,18 @@
     return messages.Prompt(model, int(prompt_tokens), int(output_tokens or 0), tuple(parts))
 
 
+def _is_encoded(headers: messages.HeaderPairs, values: dict[bytes, bytes]) -> bool:
+    """Returns whether a body is coded, for itself or for this hop only, other than in chunks."""
+    if values.get(b"content-encoding", b"identity").lower() != b"identity":
+        return True
+    codings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+    return any(
+        coding.strip().lower() not in _TRANSPARENT_CODINGS
+        for value in codings
+        for coding in value.split(b",")
+    )
+
+
 def _parse_load(header: bytes | None) -> messages.LoadSample | None:
     if header is None:
         return None
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import attrs
 import platform_stand_in as stand_in
@@ -331,6 +332,25 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("coding", ["gzip, chunked", "gzip", "gzip\r\nTransfer-Encoding: chunked"])
+def test_transfer_coding_is_not_passed_on_as_the_body(coding: str) -> None:
+    """Guards against a body in a transfer coding whose header is not passed on."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            packed = gzip.compress(BODY)
+            head = _head(exchange, 200, f"Transfer-Encoding: {coding}")
+            chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(packed), packed)
+            exchange.writer.write(head + (chunks if "chunked" in coding else packed))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 502, answer
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("second_framing", ["length", "chunks"])
 def test_answer_in_chunks_is_whole_wherever_it_breaks_off(second_framing: str) -> None:
     """Guards against an answer in chunks that is joined with the answer behind it."""
