Skip any number of interim answers before an answer

Callers got a 502 for a request whose target sent four or more interim answers (1xx) before a sound answer: they counted as late answers to earlier requests. The limit on bytes without a head or a byte of a body bounds them.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -323,11 +323,12 @@
         is_reused: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         protocol = connection.protocol
-        stale_bytes = 0
-        for _ in range(MAX_STALE_RESPONSES):
+        stale_count = stale_bytes = 0
+        while stale_count < MAX_STALE_RESPONSES:
             try:
                 message, payload = await protocol.read()
                 if message.code < 200:
+                    # Their number is limited by `target_protocol.MAX_FRAMING_BYTES`.
                     continue
                 if embedded_heads.is_joined_head(message.reason, tuple(message.raw_headers)):
                     protocol.abort()
@@ -339,6 +340,7 @@
                     transfer = messages.Transfer(_framing(message, head), is_reused)
                     return Ok(PooledResponse(self, target, connection, payload, head, transfer))
                 # A late response to an earlier request; the response to this one follows it.
+                stale_count += 1
                 self._observer.on_extra_bytes(
                     target, messages.ExtraBytes.OTHER_ANSWER, head.request_id
                 )
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -399,6 +399,56 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("first", "status"),
+    [
+        pytest.param(["HTTP/1.1 204 X", "Content-Length: 400"], 204, id="204-with-length"),
+        pytest.param(["HTTP/1.1 204 X", "Transfer-Encoding: chunked"], 204, id="204-in-chunks"),
+        pytest.param(["HTTP/1.1 204 X"], 204, id="204"),
+        pytest.param(["HTTP/1.1 304 X", "Content-Length: 400"], 304, id="304-with-length"),
+        pytest.param(["HTTP/1.1 304 X"], 304, id="304"),
+    ],
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_answer_without_a_body_takes_in_no_other_answer(
+    first: list[str], status: int, delay_s: float
+) -> None:
+    """Guards against an answer that has no body by its status and is given one."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            fields = [f"Request-Id: {exchange.request_id}", "Server-Seal: s"]
+            exchange.writer.write(("\r\n".join([*first, *fields]) + "\r\n\r\n").encode())
+            await asyncio.sleep(delay_s)
+            exchange.writer.write(_framed(exchange, "length", BODY))
+
+        async with _site("idempotent", script) as site:
+            await site.start_gateway()
+            for index in range(3):
+                answer = await site.send(stand_in.request("/svc/x", f"r{index}"))
+                assert _status(answer) in {status, 502}, answer
+                assert _status(answer) == 502 or _body(answer) == b"", answer
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("count", [1, 3, 4, 6])
+@pytest.mark.parametrize("status", [100, 102, 103])
+def test_interim_answers_are_skipped(status: int, count: int) -> None:
+    """Guards against a sound answer that is dropped for the interim ones before it."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            exchange.writer.write(b"HTTP/1.1 %d X\r\n\r\n" % status * count)
+            exchange.send(200, BODY)
+
+        answer = await _ask("non_idempotent", script)
+        assert _status(answer) == 200, answer
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 def _site(
     kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
 ) -> stand_in.GatewayEnvironment:
