--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -136,7 +136,10 @@
             raise ports.BrokenAnswerError(
                 "connection reset before the end of the response", connection_broken=True
             )
-        if scanner.has_found_head or (scanner.has_head_start and not self._is_end_certain):
+        has_cut_head = scanner.has_head_start and not self._is_end_certain
+        # The rest of a status line is no response, so it shows where the line began.
+        has_cut_version = scanner.has_version_start and self._connection.protocol.has_invalid_bytes
+        if scanner.has_found_head or has_cut_head or has_cut_version:
             self._is_mixed = True
             self._pool.on_mixed_answer(self._target, self.head)
             raise ports.BrokenAnswerError("another answer begins in the body")
@@ -245,7 +248,9 @@
     def is_answer_head(self, status: int, headers: messages.HeaderPairs) -> bool:
         """Returns whether a status and headers can be those of a target's answer."""
         head = self._codec.decode_answer_head(status, headers)
-        return head.request_id is not None or head.sealed
+        is_marked = head.request_id is not None or head.sealed
+        # Refusals and answers to stage calls may name no request.
+        return is_marked or head.not_run or head.load is not None
 
     def on_mixed_answer(self, target: targets.Target, head: messages.AnswerHead) -> None:
         """Reports an answer whose body holds another answer."""
@@ -318,11 +323,12 @@
         is_reused: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         protocol = connection.protocol
-        stale_bytes = 0
-        for _ in range(MAX_STALE_RESPONSES):
+        stale_count = stale_bytes = 0
+        while stale_count < MAX_STALE_RESPONSES:
             try:
                 message, payload = await protocol.read()
                 if message.code < 200:
+                    # Their number is limited by `target_protocol.MAX_FRAMING_BYTES`.
                     continue
                 if embedded_heads.is_joined_head(message.reason, tuple(message.raw_headers)):
                     protocol.abort()
@@ -334,6 +340,7 @@
                     transfer = messages.Transfer(_framing(message, head), is_reused)
                     return Ok(PooledResponse(self, target, connection, payload, head, transfer))
                 # A late response to an earlier request; the response to this one follows it.
+                stale_count += 1
                 self._observer.on_extra_bytes(
                     target, messages.ExtraBytes.OTHER_ANSWER, head.request_id
                 )
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import attrs
 import platform_stand_in as stand_in
@@ -270,6 +271,184 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("missing_bytes", range(1, 8))
+def test_answer_that_lacks_a_few_bytes_is_not_filled_up_by_the_answer_behind_it(
+    missing_bytes: int,
+) -> None:
+    """Guards against a body whose last bytes are the first ones of the next status line."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            whole = _framed(exchange, "length", BODY)
+            if runs == 1:
+                await _write_in_pieces(exchange, whole[:-missing_bytes], 65_536)
+            exchange.writer.write(whole)
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 200
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        pytest.param(b"503 X\r\nNot-Run: 1\r\nContent-Length: 0", id="not-run"),
+        pytest.param(b"400 X\r\nNot-Run: 1\r\nContent-Length: 2", id="without-an-id"),
+        pytest.param(b"200 X\r\nServer-Load: 1,0,6\r\nContent-Length: 2", id="of-a-stage"),
+    ],
+)
+@pytest.mark.parametrize("framing", ["length", "none"])
+def test_answer_does_not_take_in_an_answer_that_names_no_request(
+    framing: str, second: bytes
+) -> None:
+    """Guards against an answer in a body whose head has neither an id nor a seal."""
+
+    async def main() -> None:
+        runs = 0
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            nonlocal runs
+            runs += 1
+            whole = _framed(exchange, framing, BODY)
+            if runs > 1:
+                exchange.send(200, BODY)
+                return
+            await _write_in_pieces(exchange, whole[:-100], 65_536)
+            exchange.writer.write(b"HTTP/1.1 " + second + b"\r\n\r\n")
+            exchange.writer.write(b"no" * 50)
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 200
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("coding", ["gzip, chunked", "gzip", "gzip\r\nTransfer-Encoding: chunked"])
+def test_transfer_coding_is_not_passed_on_as_the_body(coding: str) -> None:
+    """Guards against a body in a transfer coding whose header is not passed on."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            packed = gzip.compress(BODY)
+            head = _head(exchange, 200, f"Transfer-Encoding: {coding}")
+            chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(packed), packed)
+            exchange.writer.write(head + (chunks if "chunked" in coding else packed))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        answer = await _ask("idempotent", script)
+        assert _status(answer) == 502, answer
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("second_framing", ["length", "chunks"])
+def test_answer_in_chunks_is_whole_wherever_it_breaks_off(second_framing: str) -> None:
+    """Guards against an answer in chunks that is joined with the answer behind it."""
+
+    async def main() -> None:
+        seen: set[str] = set()
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            whole = _framed(exchange, "chunks", BODY)
+            second = _framed(exchange, second_framing, BODY)
+            if exchange.request_id not in seen:
+                seen.add(exchange.request_id)
+                exchange.writer.write(whole[: int(exchange.request_id)])
+            exchange.writer.write(second)
+
+        async with _site("idempotent", script) as site:
+            await site.start_gateway()
+            joined = []
+            for cut_bytes in range(100, 520):
+                answer = await site.send(stand_in.request("/svc/x", str(cut_bytes)))
+                if _status(answer) == 200 and _body(answer) != BODY:
+                    joined.append(cut_bytes)
+            assert joined == []
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+def test_connection_that_ends_behind_an_answer_is_no_extra_byte(framing: str) -> None:
+    """Guards against log lines that blame a target that closes its connections."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            exchange.writer.write(_framed(exchange, framing, BODY))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        async with _site("idempotent", script) as site:
+            gateway = await site.start_gateway()
+            for index in range(30):
+                answer = await site.send(stand_in.request("/svc/x", f"r{index}"))
+                assert _body(answer) == BODY
+            extra_bytes = gateway.state.metrics.extra_bytes.collect()
+            assert [sample for metric in extra_bytes for sample in metric.samples] == []
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize(
+    ("first", "status"),
+    [
+        pytest.param(["HTTP/1.1 204 X", "Content-Length: 400"], 204, id="204-with-length"),
+        pytest.param(["HTTP/1.1 204 X", "Transfer-Encoding: chunked"], 204, id="204-in-chunks"),
+        pytest.param(["HTTP/1.1 204 X"], 204, id="204"),
+        pytest.param(["HTTP/1.1 304 X", "Content-Length: 400"], 304, id="304-with-length"),
+        pytest.param(["HTTP/1.1 304 X"], 304, id="304"),
+    ],
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_answer_without_a_body_takes_in_no_other_answer(
+    first: list[str], status: int, delay_s: float
+) -> None:
+    """Guards against an answer that has no body by its status and is given one."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            fields = [f"Request-Id: {exchange.request_id}", "Server-Seal: s"]
+            exchange.writer.write(("\r\n".join([*first, *fields]) + "\r\n\r\n").encode())
+            await asyncio.sleep(delay_s)
+            exchange.writer.write(_framed(exchange, "length", BODY))
+
+        async with _site("idempotent", script) as site:
+            await site.start_gateway()
+            for index in range(3):
+                answer = await site.send(stand_in.request("/svc/x", f"r{index}"))
+                assert _status(answer) in {status, 502}, answer
+                assert _status(answer) == 502 or _body(answer) == b"", answer
+
+    stand_in.run(main)
+
+
+@pytest.mark.parametrize("count", [1, 3, 4, 6])
+@pytest.mark.parametrize("status", [100, 102, 103])
+def test_interim_answers_are_skipped(status: int, count: int) -> None:
+    """Guards against a sound answer that is dropped for the interim ones before it."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            exchange.writer.write(b"HTTP/1.1 %d X\r\n\r\n" % status * count)
+            exchange.send(200, BODY)
+
+        answer = await _ask("non_idempotent", script)
+        assert _status(answer) == 200, answer
+        assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 def _site(
     kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
 ) -> stand_in.GatewayEnvironment:
