Give up a connection on which a late answer takes in another one

Callers got a 504 at their deadline: a late answer without a length, or one that breaks off, took in the answer to their request, and the gateway waited for its end. The head of the answer in it now ends the wait, and the request is sent again on another connection, as far as it may be.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -344,9 +344,14 @@
                 self._observer.on_extra_bytes(
                     target, messages.ExtraBytes.OTHER_ANSWER, head.request_id
                 )
+                scanner = embedded_heads.EmbeddedHeadScanner(self.is_answer_head)
                 while stale_bytes <= MAX_STALE_BYTES and (data := await payload.readany()):
                     stale_bytes += len(data)
-                if stale_bytes > MAX_STALE_BYTES:
+                    scanner.feed(data)
+                    if scanner.has_found_head:
+                        break
+                # A late response that has no end takes in the response to this request.
+                if stale_bytes > MAX_STALE_BYTES or scanner.has_found_head:
                     break
             except http_exceptions.HttpProcessingError:
                 protocol.abort()
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -449,6 +449,38 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("framing", "sent_bytes"),
+    [("none", None), ("none", 200), ("length", 200), ("length", 100), ("chunks", 200)],
+)
+def test_late_answer_without_an_end_does_not_hold_up_the_answer_behind_it(
+    framing: str, sent_bytes: int | None
+) -> None:
+    """Guards against a wait until the deadline for the end of a late answer."""
+
+    async def main() -> None:
+        used: set[asyncio.StreamWriter] = set()
+
+        async def script(exchange: stand_in.Exchange) -> None:
+            if exchange.request_id == "r0":
+                used.add(exchange.writer)
+                exchange.send(200, b"earlier", Keep_Alive="timeout=60")
+                return
+            if exchange.writer in used:
+                late = _framed(exchange, framing, BODY * 4, own_id="r0")
+                await _write_in_pieces(exchange, late[:sent_bytes], 65_536)
+            exchange.send(200, BODY)
+
+        async with _site("idempotent", script, worker_count=1) as site:
+            await site.start_gateway()
+            await site.send(stand_in.request("/svc/x", "r0"))
+            answer = await site.send(stand_in.request("/svc/x", "r1"))
+            assert _status(answer) == 200, answer
+            assert _body(answer) == BODY
+
+    stand_in.run(main)
+
+
 def _site(
     kind: str, script: stand_in.Script, worker_count: int = 2, **route: object
 ) -> stand_in.GatewayEnvironment:
