Exit with code 0 although signals arrive after the stop

What was seen: a process that got SIGHUP, SIGTERM or SIGINT after it had written `process.stopped` ended by the signal (exit codes -1, -15, -2) instead of with code 0. Nothing of a caller was cut, but whoever watches the process counts it as one that failed. The product's own daemon had the same fault for SIGTERM, SIGINT and SIGUSR1 (-15, -2, -10).

Cause: while the interpreter shuts down, it restores the default action of every signal that has a handler, and some time passes from there to the exit. The loop is not the cause: after uvloop has closed, the handlers are still in place, and SigCgt in /proc/self/status still lists them in a function that atexit calls. An ignored signal stays ignored in that phase.

Change: `signals.handled` sets the handlers of both daemons, and sets the same signals to be ignored once the daemon has stopped, before the loop closes. Until then signals are handled as before. The product's daemon has no handler for SIGHUP, which still ends it at any time.

Evidence: the new tests send signals every millisecond or so from SIGTERM until the process is gone.

--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -26,6 +26,7 @@
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
 from sesamehold.process import settings
+from sesamehold.process import signals
 from sesamehold.version import manifest
 
 EXIT_BAD_SETTINGS = 2
@@ -218,13 +219,15 @@
         """
         # Loads the certificates, so that a faulty one ends the start before any socket listens.
         daemon = Daemon.from_config(self.config)
-        loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, daemon.start_drain)
-        loop.add_signal_handler(signal.SIGUSR1, daemon.log_state)
-        self.start_event.set()
+        handlers = {
+            signal.SIGTERM: daemon.start_drain,
+            signal.SIGINT: daemon.start_drain,
+            signal.SIGUSR1: daemon.log_state,
+        }
         try:
-            await daemon.run()
+            with signals.handled(handlers):
+                self.start_event.set()
+                await daemon.run()
         except StartError as error:
             self.failure = error
         finally:
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -24,6 +24,7 @@
 from sesamehold.process import clock as clocks
 from sesamehold.process import listening
 from sesamehold.process import pause
+from sesamehold.process import signals
 from sesamehold.process.gateway import background
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import directory_events
@@ -282,13 +283,15 @@
     async def start(self) -> None:
         """Serves; SIGTERM and SIGINT start a graceful shutdown, SIGHUP reloads the settings."""
         daemon = GatewayDaemon.from_config(self.config, self.make_adapter(), self.output)
-        loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, daemon.start_drain)
-        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-        self.start_event.set()
+        handlers = {
+            signal.SIGTERM: daemon.start_drain,
+            signal.SIGINT: daemon.start_drain,
+            signal.SIGHUP: daemon.reload,
+        }
         try:
-            await daemon.run()
+            with signals.handled(handlers):
+                self.start_event.set()
+                await daemon.run()
         finally:
             self.finished.set()
 
--- a/testing/platform/test_signals.py
+++ b/testing/platform/test_signals.py
@@ -111,6 +111,42 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("ip", "number"),
+    [
+        pytest.param("127.0.71.7", TERM, id="term"),
+        pytest.param("127.0.71.8", HUP, id="hup"),
+        pytest.param("127.0.71.9", INT, id="int"),
+    ],
+)
+def test_signals_until_a_process_is_gone_do_not_change_its_exit_code(
+    tmp_path: pathlib.Path, ip: str, number: signal.Signals
+) -> None:
+    """Guards against signals that end a process which has stopped but not yet exited."""
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", "non_idempotent")]
+        site.add_worker("i-0", "svc", _ok)
+        site.publish()
+        host = soak_host.SoakHost(0, ip, "z1", site.store.address, [], tmp_path, promises.Record())
+        async with site:
+            await host.start()
+            try:
+                async with asyncio.timeout(20):
+                    while not await host.is_ready():
+                        await asyncio.sleep(0.05)
+                host.signal(TERM)
+                async with asyncio.timeout(promises.GRACE_S):
+                    while (code := await host.wait(0.001)) is None:
+                        host.signal(number)
+                assert code == 0
+            finally:
+                await host.kill()
+
+    stand_in.run(main)
+
+
 def _has_begun_imports(host: soak_host.SoakHost) -> bool:
     assert host.process is not None
     return "site-packages" in pathlib.Path(f"/proc/{host.process.pid}/maps").read_text()
--- a/testing/process/test_daemon_start.py
+++ b/testing/process/test_daemon_start.py
@@ -1,9 +1,10 @@
-"""Startup of `sesameholdd`: exit codes, and TLS for callers."""
+"""Start and exit of `sesameholdd`: exit codes, and TLS for callers."""
 
 from __future__ import annotations
 
 import json
 import pathlib
+import signal
 import socket
 import ssl
 import subprocess
@@ -86,7 +87,44 @@
         assert process.wait(30) == 0
 
 
-def _status(url: str, context: ssl.SSLContext) -> int:
+@pytest.mark.parametrize(
+    "number",
+    [
+        pytest.param(signal.SIGTERM, id="term"),
+        pytest.param(signal.SIGINT, id="int"),
+        pytest.param(signal.SIGUSR1, id="usr1"),
+    ],
+)
+def test_signals_until_the_daemon_is_gone_do_not_change_its_exit_code(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guards against signals that end a daemon which has stopped but not yet exited."""
+    caller, operator, peer = local_fleet.free_addresses(3)
+    document = factories.settings_document() | {
+        "caller_address": caller,
+        "operator_address": operator,
+        "peer_address": peer,
+        "platform_address": "127.0.0.1:1",
+        "caller_tls": None,
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(document))
+    command = [sys.executable, "-m", "sesamehold.process.daemon", "--settings", str(path)]
+    log_path = tmp_path / "daemon.log"
+    with log_path.open("wb") as log, subprocess.Popen(command, stderr=log) as process:
+        try:
+            assert _status(f"http://{caller}/healthz", None) == 503
+            process.terminate()
+            end_s = time.monotonic() + 60.0
+            while process.poll() is None and time.monotonic() < end_s:
+                process.send_signal(number)
+                time.sleep(0.001)
+        finally:
+            process.kill()
+    assert process.returncode == 0, log_path.read_text()[-2_000:]
+
+
+def _status(url: str, context: ssl.SSLContext | None) -> int:
     for _ in range(600):
         try:
             with urllib.request.urlopen(url, context=context, timeout=5) as response:
