Free bodies when their requests end, and limit what they occupy

Cause: a relay and its stream forwarder refer to each other, so the body of every admitted request stayed until a full garbage collection. Bodies had no limit either, and were copied for each attempt.

Change: the relay drops its forwarder at the end. Bodies are read into one buffer and written without a copy.

--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -9,6 +9,7 @@
 
 from sesamehold.connection import caller_connection
 from sesamehold.connection.gateway import target_pool
+from sesamehold.process.gateway import body_budget
 from sesamehold.request.gateway import admission
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import relay
@@ -18,6 +19,9 @@
 BODY_IDLE_TIMEOUT_S = 5.0
 # The same, for a body that still arrives when the process is about to end.
 STOPPED_BODY_IDLE_TIMEOUT_S = 0.1
+# A body waits this long for memory before its request is refused.
+MEMORY_TIMEOUT_S = 0.25
+MEMORY_RETRY_MS = 200
 
 
 @attrs.define(eq=False)
@@ -79,9 +83,23 @@
             await sink.refuse(messages.Refusal(messages.Reason.MALFORMED))
             return sink.response
         head = decoded.ok
+        memory = _BodyMemory(state.body_budget)
+        try:
+            return await self._handle_with_body(request, head, memory, arrived_ms)
+        finally:
+            memory.release()
+
+    async def _handle_with_body(
+        self,
+        request: web.BaseRequest,
+        head: messages.RequestHead,
+        memory: _BodyMemory,
+        arrived_ms: int,
+    ) -> web.StreamResponse:
+        state = self._services.state
         sink = HttpResponseSink(self._services, request, head.request_id)
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, memory)
         except asyncio.CancelledError:
             state.log.write("request.unread", request=head.request_id)
             raise
@@ -109,30 +127,64 @@
             state.open_requests -= 1
         return sink.response
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | messages.Refusal | None:
+    async def _read_body(
+        self, request: web.BaseRequest, memory: _BodyMemory
+    ) -> bytearray | messages.Refusal | None:
         """Reads the body; returns None for a request without one and a refusal past a limit."""
         limit = self.limits.body_size_bytes
         too_large = messages.Refusal(messages.Reason.BODY_TOO_LARGE)
-        if request.content_length is not None and request.content_length > limit:
+        stated_bytes = request.content_length or 0
+        if stated_bytes > limit:
             return too_large
         has_body = "Content-Length" in request.headers or "Transfer-Encoding" in request.headers
         if not has_body:
             return None
-        chunks: list[bytes] = []
-        size_bytes = 0
         try:
+            if not await self._reserve(memory, stated_bytes):
+                return self._no_memory_refusal()
+            body = bytearray(stated_bytes)
+            size_bytes = 0
             while chunk := await self._read_chunk(request):
-                chunks.append(chunk)
-                size_bytes += len(chunk)
-                if size_bytes > limit:
+                end_bytes = size_bytes + len(chunk)
+                if end_bytes > limit:
                     return too_large
+                if end_bytes > len(body) and not await self._reserve(memory, end_bytes):
+                    return self._no_memory_refusal()
+                body[size_bytes:end_bytes] = chunk
+                size_bytes = end_bytes
         except TimeoutError:
             if self._is_stopped:
                 return admission.stopping_refusal(self._services.state)
             return messages.Refusal(messages.Reason.BODY_TIMEOUT)
         except web.RequestPayloadError:
             return messages.Refusal(messages.Reason.MALFORMED)
-        return b"".join(chunks)
+        if size_bytes < len(body):
+            return messages.Refusal(messages.Reason.MALFORMED)
+        return body
+
+    async def _reserve(self, memory: _BodyMemory, size_bytes: int) -> bool:
+        """Waits for a short time until memory for a body is free; returns whether it is."""
+        match memory.request(size_bytes):
+            case body_budget.Grant.RESERVED:
+                return True
+            case body_budget.Grant.REFUSED:
+                return False
+        try:
+            async with asyncio.timeout(MEMORY_TIMEOUT_S) as wait:
+                self._reads.add(wait)
+                try:
+                    await memory.granted.wait()
+                finally:
+                    self._reads.discard(wait)
+        except TimeoutError:
+            if self._is_stopped:
+                raise
+            return False
+        return True
+
+    def _no_memory_refusal(self) -> messages.Refusal:
+        state = self._services.state
+        return admission.not_run_refusal(state, messages.Reason.OVERLOADED, MEMORY_RETRY_MS)
 
     async def _read_chunk(self, request: web.BaseRequest) -> bytes:
         timeout_s = STOPPED_BODY_IDLE_TIMEOUT_S if self._is_stopped else BODY_IDLE_TIMEOUT_S
@@ -144,6 +196,27 @@
                 self._reads.discard(read)
 
 
+@attrs.define(eq=False)
+class _BodyMemory:
+    """Memory that the body of one request has reserved, or waits for."""
+
+    _budget: body_budget.BodyBudget
+    granted: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
+    _reservation: body_budget.Reservation = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._reservation = body_budget.Reservation(self.granted.set)
+
+    def request(self, size_bytes: int) -> body_budget.Grant:
+        """Asks for memory; `granted` is set once a body that waits for it has got it."""
+        self.granted.clear()
+        return self._budget.request(self._reservation, size_bytes)
+
+    def release(self) -> None:
+        """Gives the memory back, or ends the wait for it."""
+        self._budget.release(self._reservation)
+
+
 @attrs.define(eq=False)
 class HttpResponseSink:
     """Writes the HTTP response to one request.
--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -184,9 +184,10 @@
     async def send(
         self,
         target: targets.Target,
-        request: bytes,
+        head: bytes,
         request_id: str | None,
         *,
+        body: bytes | bytearray = b"",
         reuse: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         """Sends one request and waits for the response headers; see `ports.TargetClient`."""
@@ -211,7 +212,9 @@
             max_field_size=HEADER_LIMIT_BYTES,
         )
         sent_ms = self._clock.now_ms()
-        transport.write(request)
+        # Written apart, as joining them would copy the body.
+        transport.write(head)
+        transport.write(body)
         try:
             return await self._read_head(
                 target, connection, request_id, sent_ms, is_reused=is_reused
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sesamehold.process import clock as clocks
+from sesamehold.process.gateway import body_budget
 from sesamehold.process.gateway import caller_limits
 from sesamehold.process.gateway import cold_rate_limit
 from sesamehold.process.gateway import crash_attribution
@@ -41,6 +42,7 @@
         restrictions: What targets said about themselves in their answers.
         caller_limits: Limits of callers in the current and in recent configurations.
         crashes: Attribution of crashes of targets to requests and prompt parts.
+        body_budget: Memory for the bodies of open requests.
         route_duration: Estimate of the time from arrival to the end of the answer for each route.
         route_latency: Latency estimate for each route.
         table: Current routing table, None until a configuration has been read.
@@ -64,6 +66,7 @@
     restrictions: target_restrictions.TargetRestrictions
     caller_limits: caller_limits.RecentCallerLimits
     crashes: crash_attribution.CrashAttribution
+    body_budget: body_budget.BodyBudget
     route_duration: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     table: routing.RoutingTable | None = None
@@ -100,6 +103,7 @@
             restrictions=target_restrictions.TargetRestrictions(rng),
             caller_limits=caller_limits.RecentCallerLimits(config.bounds.change_ms),
             crashes=crash_attribution.CrashAttribution(address),
+            body_budget=body_budget.BodyBudget.from_config(config),
         )
 
     def is_ready(self) -> bool:
@@ -186,4 +190,5 @@
         """Applies changed settings; listening addresses stay as they are."""
         self.config = config
         self.retry_budget.reload(config.bounds)
+        self.body_budget.reload(config)
         self.hosts.add_seeds([str(seed) for seed in config.seeds])
--- a/src/sesamehold/request/gateway/admission.py
+++ b/src/sesamehold/request/gateway/admission.py
@@ -32,7 +32,7 @@
     """
 
     head: messages.RequestHead
-    body: bytes | None
+    body: bytes | bytearray | None
     arrived_ms: int
 
 
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -90,17 +90,19 @@
     async def send(
         self,
         target: targets.Target,
-        request: bytes,
+        head: bytes,
         request_id: str | None,
         *,
+        body: bytes | bytearray = b"",
         reuse: bool,
     ) -> Result[TargetAnswer, ExchangeFault]:
         """Sends one request and waits for the head of its answer.
 
         Args:
             target: Target to send to.
-            request: Encoded head and body.
+            head: Encoded head, or head and body.
             request_id: Id that the answer must carry if it carries one.
+            body: Body, which must not change until the answer is released.
             reuse: Whether a pooled connection may be used; if it breaks, the outcome is unknown.
         """
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -110,6 +110,8 @@
             self._time_limit = None
             self._stages.release()
             self._record_end()
+            # It refers to this object; the body would stay until the next garbage collection.
+            del self._streams
 
     def stop(self) -> None:
         """Ends the request with its final answer now, because the process is about to end."""
@@ -248,10 +250,7 @@
         release_timer = loop.call_later(INPUT_RELEASE_DELAY_S, self._stages.free_inputs)
         try:
             sent = await self._services.client.send(
-                target,
-                head + (body or b""),
-                self._incoming.head.request_id,
-                reuse=may_reuse,
+                target, head, self._incoming.head.request_id, body=body or b"", reuse=may_reuse
             )
         finally:
             release_timer.cancel()
