Drop a bound on time from the test of large bodies

The check that small requests are answered within 250 ms depends on the speed of the machine. It is not needed: no memory is given back before they are answered, so one that waited for it would be refused, and all of them must be served.

--- a/testing/platform/test_large_bodies.py
+++ b/testing/platform/test_large_bodies.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 import gc
-import time
 import tracemalloc
 
 import platform_stand_in as stand_in
@@ -75,12 +74,11 @@
             budget.capacity_bytes = 4 * MB
             large = [asyncio.create_task(site.send(encode(n))) for n in range(12)]
             await asyncio.sleep(0.05)
-            started_s = time.monotonic()
+            # One that waited would be refused, as no memory is given back yet.
             small = await asyncio.gather(
                 *(site.send(stand_in.request("/svc/x", f"small-{n}")) for n in range(10))
             )
             assert all(answer.startswith(b"HTTP/1.1 200") for answer in small)
-            assert time.monotonic() - started_s < ingress.MEMORY_TIMEOUT_S
             await asyncio.sleep(answers_after_s)
             work.may_answer.set()
             answers = await asyncio.gather(*large)
