Handle a connection that was closed for too many interim answers

Callers of a target that sends interim answers without end got 502 with the reason "internal", also for requests that may be repeated.

Cause: since interim answers are skipped without a limit on their number. The limit on bytes without a head closes the connection, which makes the protocol forget its error; once the queue of heads was empty, its read raised an exception that nothing handled.

Change: the end of the queue counts as an answer that is no HTTP; the attempt's outcome is unknown, and the request is sent again if it may be.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -356,7 +356,8 @@
                 # A late response that has no end takes in the response to this request.
                 if stale_bytes > MAX_STALE_BYTES or scanner.has_found_head:
                     break
-            except http_exceptions.HttpProcessingError:
+            except (http_exceptions.HttpProcessingError, streams.EofStream):
+                # A protocol that closes its connection because of a limit forgets its error.
                 protocol.abort()
                 return Error(ports.ExchangeFault("not-http", sent=True))
             except _CONNECTION_ERRORS as error:
