--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -163,6 +163,12 @@
         """Returns whether all stages are done."""
         return all(stage.done for stage in self._stages.values())
 
+    def needed_services(self) -> frozenset[str]:
+        """Returns the services that still have to receive calls for this job."""
+        return frozenset(
+            stage.work.service for stage in self._stages.values() if not stage.all_started
+        )
+
     def ready_steps(self) -> list[ReadyStep]:
         """Returns the pieces that can be processed now and are not in flight, by stage."""
         steps = []
--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -64,6 +64,7 @@
     steps: list[QueuedStep] = attrs.field(factory=list)
     piece_counts: collections.Counter[tuple[str, int]] = attrs.field(factory=collections.Counter)
     infeasible_after_ms: float = 0.0
+    needed_services: frozenset[str] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -128,6 +129,16 @@
         self._update_index()
         return [entry.job for entry in self._entries.values() if now_ms > entry.infeasible_after_ms]
 
+    def needed_services(self) -> set[str]:
+        """Returns the services that still have to receive calls."""
+        self._update_index()
+        return {name for entry in self._entries.values() for name in entry.needed_services}
+
+    def jobs_that_need(self, services: set[str]) -> list[stage_job.Job]:
+        """Returns the jobs that cannot be finished without calls to some of the services."""
+        self._update_index()
+        return [entry.job for entry in self._entries.values() if entry.needed_services & services]
+
     def waiting_pieces(self, service: str, urgency: int) -> int:
         """Returns the number of ready pieces that are served before new ones of an urgency."""
         self._update_index()
@@ -159,6 +170,7 @@
 
     def _add_to_index(self, entry: _Entry) -> None:
         job = entry.job
+        entry.needed_services = job.needed_services()
         if job.done:
             entry.infeasible_after_ms = float("inf")
             return
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -25,6 +25,9 @@
 REJECTION_BACKOFF_MS = 60
 UNREACHABLE_BACKOFF_MS = 700
 RETRY_AFTER_MS = 500
+# Time for which jobs wait for a service without a usable target: one that restarts is usually back
+# sooner, and the directory of a host that has just started is complete sooner.
+NO_TARGET_GRACE_MS = 500
 # Calls of the previous leader may remain queued at targets for this long.
 TAKEOVER_CONTENTION_MS = 1_500
 
@@ -70,6 +73,7 @@
     _queue: stage_queue.StageQueue = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
+    _without_target_since_ms: dict[str, int] = attrs.field(factory=dict)
     _last_submit_ms: int | None = None
     _contended_until_ms: int = 0
 
@@ -122,11 +126,17 @@
         return [FinishedJob(job, ports.StageFailure(ports.HANDED_OVER, 0)) for job in idle]
 
     def plan(self, now_ms: int) -> tuple[list[stage_workers.Call], list[FinishedJob]]:
-        """Returns the calls to start now and the jobs that can no longer meet their deadline."""
+        """Returns the calls to start now and the jobs that cannot be finished.
+
+        These are the jobs that can no longer meet their deadline, and those that need a service
+        which has no usable target.
+        """
         self._release_overdue_pieces(now_ms)
         finished: list[FinishedJob] = []
         for job in self._queue.infeasible(now_ms):
             finished += self._fail(job, "too-late")
+        for job in self._queue.jobs_that_need(self._services_without_target(now_ms)):
+            finished += self._fail(job, "no-stage-target")
         calls: list[stage_workers.Call] = []
         for service in self._queue.services():
             calls += self._plan_service(service, now_ms)
@@ -200,6 +210,23 @@
 
     # ---- planning ------------------------------------------------------------------------------
 
+    def _services_without_target(self, now_ms: int) -> set[str]:
+        """Returns the services that have had no usable target for the grace time.
+
+        A service is remembered until it has one again, so that later requests do not wait.
+        """
+        known = self._without_target_since_ms
+        self._without_target_since_ms = {
+            service: known.get(service, now_ms)
+            for service in known.keys() | self._queue.needed_services()
+            if not self.usable_targets(service)
+        }
+        return {
+            service
+            for service, since_ms in self._without_target_since_ms.items()
+            if now_ms - since_ms >= NO_TARGET_GRACE_MS
+        }
+
     def _plan_service(self, service: str, now_ms: int) -> list[stage_workers.Call]:
         pool = self.pool_for(service)
         if pool is None:
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import json
 
 import platform_stand_in as stand_in
@@ -418,6 +419,50 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param(lambda site: site.store.delete("servers/i-1"), id="gone"),
+        pytest.param(lambda site: site.register("i-1", "st", state="draining"), id="draining"),
+        pytest.param(lambda site: site.store.put("op/evacuate/z2", {}), id="zone-is-out"),
+    ],
+)
+def test_request_whose_stage_has_no_usable_target_is_refused(
+    change: Callable[[stand_in.GatewayEnvironment], None],
+) -> None:
+    """Guards against requests that are held until their deadline although nothing can serve them.
+
+    The first one is held while the target may be about to come back, the others are not.
+    """
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        stages = [{"service": "st", "after": [], "bytes": 10}]
+        site.routes = [stand_in.route("svc", "non_idempotent", stages=stages, timeoutMs=30_000)]
+        site.services["st"] = {"name": "st", "pieces": stand_in.STAGE_POOL}
+        engine = site.add_worker("i-0", "svc", _ok)
+        stage = site.add_worker("i-1", "st", _stage_worker, zone="z2")
+        site.publish()
+        async with site:
+            gateway = await site.start_gateway()
+            change(site)
+            async with asyncio.timeout(5):
+                while gateway.state.directory.usable("st"):
+                    await asyncio.sleep(0.01)
+            for request_id in ("r1", "r2"):
+                data = stand_in.request(
+                    "/svc/x", request_id, Pieces="1", Piece_Key="k", Deadline_Remaining="25000"
+                )
+                async with asyncio.timeout(8):
+                    answer = await site.send(data)
+                assert _status(answer) == 503
+                assert b"\r\nRetry-After" in answer
+            assert not engine.exchanges
+            assert not stage.exchanges
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize(
     ("event_count", "expected"),
     [
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -333,6 +333,36 @@
     assert failure.kind == "unknown-stage-service"
 
 
+@pytest.mark.parametrize(
+    ("gone", "back_at_ms", "refused_at_ms"),
+    [
+        pytest.param("a", None, 500, id="first-stage"),
+        pytest.param("b", None, 500, id="later-stage"),
+        pytest.param("a", 400, None, id="target-that-restarts"),
+    ],
+)
+def test_stages_without_a_usable_target_are_refused(
+    gone: str, back_at_ms: int | None, refused_at_ms: int | None
+) -> None:
+    """Guards against requests that wait until their deadline although nothing can serve them."""
+    harness = Harness()
+    removed = harness.targets.pop(gone)
+    stages = [("a", (), 1, 10), ("b", (0,), 1, 10)]
+    assert harness.submit("waiting", stages=stages) is None
+    ends = {}
+    for now_ms in range(0, 1_000, 50):
+        if now_ms == back_at_ms:
+            harness.targets[gone] = removed
+        _, finished = harness.scheduler.plan(now_ms)
+        for item in finished:
+            ends[item.job.request.request_id] = (now_ms, item.failure)
+    failure = ports.StageFailure("no-stage-target", stage_scheduler.RETRY_AFTER_MS)
+    assert ends == ({} if refused_at_ms is None else {"waiting": (refused_at_ms, failure)})
+    harness.submit("later", 1_000, stages=stages)
+    _, finished = harness.scheduler.plan(1_004)
+    assert [item.failure for item in finished] == ([] if refused_at_ms is None else [failure])
+
+
 def _hand_over_to_other_host(harness: Harness, first: stage_workers.Call) -> Harness:
     """Hands the job of `first` over; returns the scheduler of the host that continues it."""
     other = Harness()
