--- a/src/sesamehold/connection/gateway/stage_codec.py
+++ b/src/sesamehold/connection/gateway/stage_codec.py
@@ -34,6 +34,7 @@
             preferred_zone=request.preferred_zone,
             request_ms=request.request_ms,
             made=_pieces_to_wire(request.completed_pieces),
+            account=request.account,
         )
     )
 
@@ -59,6 +60,7 @@
         preferred_zone=wire.preferred_zone,
         request_ms=wire.request_ms,
         completed_pieces=_pieces_from_wire(wire.made),
+        account=wire.account,
     )
 
 
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -114,11 +114,19 @@
 
 @attrs.frozen
 class LoadSample:
-    """Load that a target reported with an answer."""
+    """Load that a target reported with an answer.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it can run at once.
+        slowdown: Present duration of work as a multiple of the usual one, None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @attrs.frozen
--- a/src/sesamehold/request/gateway/ports.py
+++ b/src/sesamehold/request/gateway/ports.py
@@ -181,6 +181,7 @@
         request_ms: Expected duration of the request itself after its stages.
         preferred_zone: Preferred availability zone for the request itself, empty for any.
         completed_pieces: Finished pieces of stages that another host ran before.
+        account: Client account, empty for an anonymous request.
     """
 
     request_id: str
@@ -192,6 +193,7 @@
     request_ms: int = 0
     preferred_zone: str = ""
     completed_pieces: tuple[CompletedPiece, ...] = ()
+    account: str = ""
 
 
 @attrs.frozen
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -145,6 +145,7 @@
             admitted.route,
             admitted.deadline,
             self._urgency(),
+            "" if self._account is None else self._account.name,
             self._incoming.arrived_ms,
         )
 
--- a/src/sesamehold/request/gateway/request_stages.py
+++ b/src/sesamehold/request/gateway/request_stages.py
@@ -31,6 +31,7 @@
     _route: routing.Route
     _deadline: deadlines.Deadline
     _urgency: int
+    _account: str
     _arrived_ms: int
     results: ports.StageResults | None = attrs.field(default=None, init=False)
     duration_ms: int | None = attrs.field(default=None, init=False)
@@ -64,6 +65,7 @@
             deadline_ms=self._deadline.remaining_ms(now_ms),
             request_ms=self._state.route_latency.expected_ms(self._route.name),
             preferred_zone=preferred_zone,
+            account=self._account,
         )
         match await self._runner.run(request):
             case Result(tag="ok", ok=results):
