Try further targets when connections cannot be opened

Cause: a connection that could not be opened counted like a rejection, of which three end a request. It costs no target and no retry budget.

Change: eight such attempts have a limit of their own; rejections keep theirs. The log of an ended request counts both.

--- a/src/sesamehold/request/gateway/attempts.py
+++ b/src/sesamehold/request/gateway/attempts.py
@@ -11,6 +11,9 @@
 # Limit on sends of one request that were rejected before a target ran it, for example because the
 # target was full. Further sends would use up the retry budget that all requests share.
 MAX_REJECTED_SENDS = 3
+# Limit on connections of one request that could not be opened. They cost no target anything, but
+# each of them may take as long as a connection attempt.
+MAX_UNREACHABLE = 8
 
 # Statuses that callers interpret as a guarantee that the request was not processed.
 _NOT_PROCESSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -75,13 +78,15 @@
         repeatable: Whether the request may run more than once.
         max_runs: Maximum number of attempts that may start to run on a target.
         runs: Attempts that may have started to run on a target.
-        rejected: Attempts that did not start to run on any target.
+        rejected: Attempts that a target received and did not start to run.
+        unreachable: Attempts for which no connection could be opened.
     """
 
     repeatable: bool
     max_runs: int
     runs: int = 0
     rejected: int = 0
+    unreachable: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -96,6 +101,10 @@
         """
         return self.repeatable and self.runs + open_runs < self.max_runs
 
+    def log_fields(self) -> dict[str, int]:
+        """Returns the counts for the log."""
+        return {"runs": self.runs, "rejected": self.rejected, "unreachable": self.unreachable}
+
     def record(self, result: AttemptResult) -> NextStep:
         """Counts an attempt that has ended and returns what follows it."""
         self.count(result)
@@ -105,6 +114,8 @@
         """Counts an attempt, which may still be open, by its result so far."""
         if result in _MAY_HAVE_RUN:
             self.runs += 1
+        elif result is AttemptResult.NOT_SENT:
+            self.unreachable += 1
         else:
             self.rejected += 1
 
@@ -124,6 +135,8 @@
         if result in _MAY_HAVE_RUN:
             fallback = NextStep.PASS_ANSWER if result is AttemptResult.FAILED else NextStep.REFUSE
             return NextStep.SEND_AGAIN if self.may_run_again() else fallback
-        if self.rejected >= MAX_REJECTED_SENDS or (self.may_have_run and not self.repeatable):
+        if self.rejected >= MAX_REJECTED_SENDS or self.unreachable >= MAX_UNREACHABLE:
+            return NextStep.REFUSE
+        if self.may_have_run and not self.repeatable:
             return NextStep.REFUSE
         return NextStep.REDO_STAGES if result is AttemptResult.INPUTS_GONE else NextStep.SEND_AGAIN
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -561,8 +561,7 @@
             stages_ms=self._stages.duration_ms,
             targets=sorted(self._search.tried),
             zone=None if results is None else results.zone,
-            runs=self._attempts.runs,
-            rejected=self._attempts.rejected,
+            **self._attempts.log_fields(),
         )
 
     def _urgency(self) -> int:
--- a/testing/request/gateway/test_attempts.py
+++ b/testing/request/gateway/test_attempts.py
@@ -37,6 +37,16 @@
         pytest.param(
             True, 2, [R.NOT_RUN] * 3, [S.SEND_AGAIN, S.SEND_AGAIN, S.REFUSE], id="all-full"
         ),
+        pytest.param(
+            False,
+            1,
+            [R.NOT_SENT] * attempts.MAX_UNREACHABLE,
+            [S.SEND_AGAIN] * (attempts.MAX_UNREACHABLE - 1) + [S.REFUSE],
+            id="none-reachable",
+        ),
+        pytest.param(
+            False, 1, [R.NOT_SENT] * 3 + [R.NOT_RUN], [S.SEND_AGAIN] * 4, id="three-unreachable"
+        ),
         pytest.param(True, 1, [R.ANSWERED], [S.PASS_ANSWER], id="answered"),
     ],
 )
