Take an answer with an invalid status for no answer

Seen by callers: an answer with the status 600 or 999 reached them as one; after 000, 001, 099 or 101 the gateway waited until the deadline and said 504, also where another target could have answered. On the product's own path such an answer counted as a failure of the target, as "not run" if its headers said so, and the operator command printed the body of a 000 as the document that it had asked for. A probe took it for a sign of life.

Cause: the library's parser accepts any three digits, and each place that reads a status compared it by a rule of its own: below 200 is interim in the pool, not 200 is a failure in the clients, 400 or more an error at the operator's.

Change: status_line.py is the one reading (100 to 599; 1xx is interim; 101 is no answer, as nothing is upgraded). AnswerProtocol applies it where a head has been parsed, on every HTTP connection that the process opens: targets, stages, store, configuration service, operator API and the product's own calls. The connection is closed, the attempt may have run whatever the headers say, and the fault is "invalid-status" in the log (also for what the parser refuses, such as 20x). On the product's own path, bytes that are no answer are now a bad answer instead of a lost connection, which counts as a sign of a crash. Hosts call each other over HTTP/2 and read no status line. The search for heads inside a body still takes any three digits for a status: a second answer in trouble is no part of a body.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -21,6 +21,8 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import answer_protocol
+from sesamehold.connection import status_line
 from sesamehold.connection.gateway import embedded_heads
 from sesamehold.connection.gateway import framing_budget
 from sesamehold.connection.gateway import target_protocol
@@ -330,7 +332,7 @@
         while stale_count < MAX_STALE_RESPONSES:
             try:
                 message, payload = await protocol.read()
-                if message.code < 200:
+                if status_line.classify(message.code) is status_line.StatusKind.INTERIM:
                     # Their number is limited by `target_protocol.MAX_FRAMING_BYTES`.
                     continue
                 if embedded_heads.is_joined_head(message.reason, tuple(message.raw_headers)):
@@ -356,10 +358,10 @@
                 # A late response that has no end takes in the response to this request.
                 if stale_bytes > MAX_STALE_BYTES or scanner.has_found_head:
                     break
-            except (http_exceptions.HttpProcessingError, streams.EofStream):
+            except (http_exceptions.HttpProcessingError, streams.EofStream) as error:
                 # A protocol that closes its connection because of a limit forgets its error.
                 protocol.abort()
-                return Error(ports.ExchangeFault("not-http", sent=True))
+                return Error(ports.ExchangeFault(_fault_kind(error), sent=True))
             except _CONNECTION_ERRORS as error:
                 protocol.abort()
                 return Error(
@@ -369,6 +371,14 @@
         return Error(ports.ExchangeFault("only-late-answers", sent=True))
 
 
+def _fault_kind(error: Exception) -> str:
+    """Returns the name of the reason for which received bytes are no answer."""
+    is_status = isinstance(error, answer_protocol.InvalidStatusError) or isinstance(
+        error.__cause__, http_exceptions.BadStatusLine
+    )
+    return "invalid-status" if is_status else "not-http"
+
+
 def _is_answer_to(request_id: str | None, head: messages.AnswerHead, *, is_reused: bool) -> bool:
     """Returns whether a response belongs to a request.
 
--- a/src/sesamehold/connection/gateway/target_protocol.py
+++ b/src/sesamehold/connection/gateway/target_protocol.py
@@ -7,10 +7,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import http_exceptions
 from aiohttp import streams
 
+from sesamehold.connection import answer_protocol
+from sesamehold.connection import status_line
 from sesamehold.connection.gateway import framing_budget
 
 # Received bytes, such as empty lines or chunk extensions, that may pass without a head or a byte of
@@ -28,7 +29,7 @@
 _INVALID_BYTES_ERRORS = (http_exceptions.HttpProcessingError, FramingTooLargeError)
 
 
-class TargetProtocol(client_proto.ResponseHandler):
+class TargetProtocol(answer_protocol.AnswerProtocol):
     """Response protocol that is stricter than its base class with a misbehaving target.
 
     It distinguishes a reset from an orderly close, which the base class accepts alike as the end of
@@ -96,7 +97,7 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Passes on a message whose head has been parsed."""
         message, payload = data
-        if message.code >= 200:
+        if status_line.classify(message.code) is status_line.StatusKind.FINAL:
             self.body = payload
             self._framing_bytes = 0
         super().feed_data(data, size)
--- a/src/sesamehold/connection/operator_client.py
+++ b/src/sesamehold/connection/operator_client.py
@@ -11,6 +11,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import answer_protocol
 from sesamehold.process import cli_fleet
 
 TIMEOUT_S = 10.0
@@ -29,6 +30,7 @@
         """Creates a client; must be called with a running event loop."""
         return cls(
             aiohttp.ClientSession(
+                connector=answer_protocol.AnswerConnector(),
                 headers={"Authorization": f"Bearer {credential}"},
                 timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
             )
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -237,6 +237,9 @@
         return Error(exchange.fault(events.AttemptFault.TIMEOUT))
     except aiohttp.ClientConnectorError:
         return Error(exchange.fault(events.AttemptFault.NO_CONNECTION, errors.RunStatus.NO))
+    except aiohttp.ClientResponseError:
+        # Bytes came that are no answer; that is no sign of a crash.
+        return Error(exchange.fault(events.AttemptFault.BAD_ANSWER))
     except (aiohttp.ClientError, ConnectionError):
         return Error(exchange.fault(events.AttemptFault.CONNECTION_LOST))
     except (ValueError, KeyError, TypeError):
--- a/src/sesamehold/connection/target_sessions.py
+++ b/src/sesamehold/connection/target_sessions.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from sesamehold.connection import answer_protocol
 from sesamehold.connection import liveness
 
 CONNECT_TIMEOUT_S = 1.0
@@ -39,7 +40,7 @@
     @classmethod
     def from_config(cls, connections_per_target: int, trace: aiohttp.TraceConfig) -> TargetSessions:
         """Creates the sessions; must be called with a running event loop."""
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = answer_protocol.AnswerConnector(limit=0, force_close=True)
         return cls(connections_per_target, trace, _session(connector, trace))
 
     async def close(self) -> None:
@@ -61,7 +62,9 @@
         """Provides the session with keep-alive connections to a target."""
         entry = self._pooled.get(address)
         if entry is None:
-            connector = aiohttp.TCPConnector(limit=0, limit_per_host=self._connections_per_target)
+            connector = answer_protocol.AnswerConnector(
+                limit=0, limit_per_host=self._connections_per_target
+            )
             entry = _PooledSession(_session(connector, self._trace))
             self._pooled[address] = entry
         entry.open_calls += 1
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -13,6 +13,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import answer_protocol
 from sesamehold.platform import names
 from sesamehold.platform import published
 from sesamehold.process import listening
@@ -48,7 +49,9 @@
     @classmethod
     def from_config(cls, address: listening.Address) -> PlatformStore:
         """Returns a client; must be called with a running event loop."""
-        session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        session = aiohttp.ClientSession(
+            connector=answer_protocol.AnswerConnector(), cookie_jar=aiohttp.DummyCookieJar()
+        )
         return cls(f"http://{address}", session)
 
     async def close(self) -> None:
--- a/src/sesamehold/process/components.py
+++ b/src/sesamehold/process/components.py
@@ -11,6 +11,7 @@
 import attrs
 from expression import Result
 
+from sesamehold.connection import answer_protocol
 from sesamehold.connection import caller_http
 from sesamehold.connection import claim_client
 from sesamehold.connection import claim_handler
@@ -112,7 +113,7 @@
         sealer = seal.Sealer.from_keys(config.peer_keys)
         peers = _peer_client(sealer, certificates)
         targets = target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET, clock)
-        session = aiohttp.ClientSession()
+        session = aiohttp.ClientSession(connector=answer_protocol.AnswerConnector())
         bridge = notice_bridge.NoticeBridge(dispatcher)
         return cls(
             node=node,
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -89,6 +89,7 @@
         "request/stream.py",
         "request/deadline.py",
         "connection/liveness.py",
+        "connection/status_line.py",
         "process/dispatch.py",
         "process/retry_budget.py",
         "process/cost_table.py",
