End an answer to a HEAD request with its head

Seen by callers: a HEAD request that a target answered was answered 504 at the deadline, unless the target stated an empty body.

Cause: the pool did not tell the parser that such an answer has no body, so it waited for the length, the chunks or the end of the connection that the head states.

Change: the pool reads no body for requests that begin with HEAD, whose framing is logged as "no-body", and passes the stated length on, which frames nothing there. Bytes behind the head are extra bytes, as behind any answer: the connection is not used again.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -55,6 +55,8 @@
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 1_048_576
 _MS_PER_S = 1_000
+# An answer to this method has no body, whatever its headers say (RFC 9110, 9.3.2).
+_HEAD_METHOD = b"HEAD "
 
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
@@ -210,7 +212,9 @@
         if transport is None or transport.is_closing():
             return Error(ports.ExchangeFault("closed-before-send", sent=False))
         protocol.begin_request()
+        has_body = not head.startswith(_HEAD_METHOD)
         protocol.set_response_params(
+            skip_payload=not has_body,
             read_until_eof=True,
             auto_decompress=False,
             max_line_size=HEADER_LIMIT_BYTES,
@@ -222,7 +226,7 @@
         transport.write(body)
         try:
             return await self._read_head(
-                target, connection, request_id, sent_ms, is_reused=is_reused
+                target, connection, request_id, sent_ms, is_reused=is_reused, has_body=has_body
             )
         except BaseException:
             protocol.abort()
@@ -326,6 +330,7 @@
         sent_ms: int,
         *,
         is_reused: bool,
+        has_body: bool,
     ) -> Result[ports.TargetAnswer, ports.ExchangeFault]:
         protocol = connection.protocol
         stale_count = stale_bytes = 0
@@ -342,7 +347,12 @@
                 if _is_answer_to(request_id, head, is_reused=is_reused):
                     self._observer.on_answer(target, head, sent_ms)
                     connection.idle_limit_ms = _idle_limit_ms(head.idle_ms)
-                    transfer = messages.Transfer(_framing(message, head), is_reused)
+                    framing = messages.Framing.NO_BODY
+                    if has_body:
+                        framing = _framing(message, head)
+                    else:
+                        head = _with_length(head)
+                    transfer = messages.Transfer(framing, is_reused)
                     return Ok(PooledResponse(self, target, connection, payload, head, transfer))
                 # A late response to an earlier request; the response to this one follows it.
                 stale_count += 1
@@ -401,6 +411,14 @@
     return messages.Framing.CLOSE
 
 
+def _with_length(head: messages.AnswerHead) -> messages.AnswerHead:
+    """Adds the length to the headers to forward: without a body it is no framing."""
+    if head.content_length is None:
+        return head
+    length = (b"Content-Length", b"%d" % head.content_length)
+    return attrs.evolve(head, headers=(*head.headers, length))
+
+
 def _idle_limit_ms(keep_alive_timeout_ms: int | None) -> int:
     if keep_alive_timeout_ms is None:
         return DEFAULT_IDLE_MS
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -189,6 +189,7 @@
     LENGTH = "length"
     CHUNKS = "chunks"
     CLOSE = "close"
+    NO_BODY = "no-body"
 
 
 @attrs.define
