Do not take a late answer of the store for the next one

Seen: with a store that sends an answer again, calls returned the answers 1, 1, 2, 4, 4, 5 instead of 1 to 6; a connection to the configuration service or to a target of the product's own path fell behind in the same way, and there every second call failed. With a copy that came during each watch, connections of the store were one answer behind for as long as they lived.

Cause: answers of these peers are told from each other by their order alone, and the library's sessions keep whatever arrives on an idle connection as the answer to the next call.

A copy that comes once the next call has been sent can only be told by what it says: a connection is used again only behind a watch that returned a later change, or nothing at the end of its wait; behind a listing, a failure, an early end and a read of the configuration the next call opens a new one. A watch all of whose changes are known already is no answer (store.late-answer). A bad answer on the product's own path discards the kept connections to that target.

--- a/src/sesamehold/connection/fleet_service.py
+++ b/src/sesamehold/connection/fleet_service.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-import aiohttp
 import attrs
 from expression import Error
 from expression import Ok
@@ -84,7 +83,7 @@
     def from_config(
         cls,
         node: nodes.Node,
-        session: aiohttp.ClientSession,
+        platform: platform_http.PlatformClient,
         make_client: Callable[[], peer_client.PeerClient],
         sealer: seal.Sealer,
         on_notices: Callable[[list[messages.NoticeBody]], None],
@@ -93,7 +92,7 @@
 
         Args:
             node: State of this host's decision logic.
-            session: HTTP session for calls to the platform.
+            platform: Client of the configuration service.
             make_client: Creates a client for one-off calls to hosts.
             sealer: Authenticates the datagrams.
             on_notices: Called with notices of other hosts.
@@ -102,9 +101,7 @@
         endpoint = datagram.DatagramEndpoint(sealer, on_envelope=_discard, count=node.metrics.count)
         reader = configuration_reader.ConfigurationReader(
             view=node.fleet,
-            platform=PublishedManifest(
-                platform_http.PlatformClient(config.platform_address, session)
-            ),
+            platform=PublishedManifest(platform),
             peers=configuration_exchange.ConfigurationPeers(make_client),
             seeds=tuple(seed for seed in config.seeds if seed != config.peer_address),
             rng=node.rng,
--- a/src/sesamehold/connection/platform_http.py
+++ b/src/sesamehold/connection/platform_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
@@ -11,11 +12,14 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import answer_protocol
 from sesamehold.version import constraints
 
 MAX_VALUE_BYTES = 1_048_576
 MAX_VERSION = constraints.MAX_INTEGER
 READ_TIMEOUT_S = 2.0
+# A watch without a newer version may end this much before the end of its wait.
+EARLY_END_MS = 50
 _MS_PER_S = 1_000
 
 
@@ -45,17 +49,39 @@
 
     _address: str
     _session: aiohttp.ClientSession
+    _connector: answer_protocol.AnswerConnector
+
+    @classmethod
+    def from_connector(
+        cls, address: str, connector: answer_protocol.AnswerConnector
+    ) -> PlatformClient:
+        """Returns a client with a session of its own; needs a running event loop."""
+        return cls(address, aiohttp.ClientSession(connector=connector), connector)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
 
     async def read(self, name: str) -> Result[PublishedValue | Unchanged, PlatformUnavailable]:
         """Reads the current version of a value."""
-        return await self._get(name, {}, READ_TIMEOUT_S)
+        try:
+            return await self._get(name, {}, READ_TIMEOUT_S)
+        finally:
+            # A late second answer to this call could not be told from the next one.
+            self._connector.close_idle()
 
     async def watch(
         self, name: str, after_version: int, wait_ms: int
     ) -> Result[PublishedValue | Unchanged, PlatformUnavailable]:
         """Long-polls up to `wait_ms` for a version newer than `after_version`."""
         parameters = {"after_version": str(after_version), "wait_ms": str(wait_ms)}
-        return await self._get(name, parameters, READ_TIMEOUT_S + wait_ms / _MS_PER_S)
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        result = await self._get(name, parameters, READ_TIMEOUT_S + wait_ms / _MS_PER_S)
+        waited_ms = (loop.time() - sent_s) * _MS_PER_S
+        if not _is_certain(result, after_version, wait_ms - waited_ms):
+            self._connector.close_idle()
+        return result
 
     async def _get(
         self, name: str, parameters: dict[str, str], timeout_s: float
@@ -76,6 +102,26 @@
         return _decode(body)
 
 
+def _is_certain(
+    result: Result[PublishedValue | Unchanged, PlatformUnavailable],
+    after_version: int,
+    left_ms: float,
+) -> bool:
+    """Returns whether the answer to a watch can be that of no earlier call.
+
+    Args:
+        result: The answer.
+        after_version: Version after which the watch asked for one.
+        left_ms: Rest of the wait of the watch when its answer came.
+    """
+    match result:
+        case Result(tag="ok", ok=PublishedValue(version=version)):
+            return version > after_version
+        case Result(tag="ok"):
+            return left_ms <= EARLY_END_MS
+    return False
+
+
 async def _read_limited(response: aiohttp.ClientResponse) -> bytes | None:
     # Allow for the JSON envelope around the value.
     limit = MAX_VALUE_BYTES + 1_024
--- a/src/sesamehold/connection/target_http.py
+++ b/src/sesamehold/connection/target_http.py
@@ -85,7 +85,11 @@
         if not call.stage.repeatable:
             return await self._run_monitored(exchange, self._sessions.fresh, on_pieces)
         async with self._sessions.pooled(call.target.address) as session:
-            return await self._run_monitored(exchange, session, on_pieces)
+            result = await self._run_monitored(exchange, session, on_pieces)
+        if result.is_error() and result.error.fault is events.AttemptFault.BAD_ANSWER:
+            # If it was a late one, the next answer on its connection is that to this call.
+            await self._sessions.retire(call.target.address)
+        return result
 
     async def load(self, target: manifest.Target) -> dispatch.LoadReport | None:
         """Fetches the load report of a target without causing work; returns None on failure."""
--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -44,20 +44,24 @@
     """Reads and watches the store."""
 
     _base_url: str
+    _connector: answer_protocol.AnswerConnector
     _session: aiohttp.ClientSession
 
     @classmethod
     def from_config(cls, address: listening.Address) -> PlatformStore:
         """Returns a client; must be called with a running event loop."""
-        session = aiohttp.ClientSession(
-            connector=answer_protocol.AnswerConnector(), cookie_jar=aiohttp.DummyCookieJar()
-        )
-        return cls(f"http://{address}", session)
+        connector = answer_protocol.AnswerConnector()
+        session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
+        return cls(f"http://{address}", connector, session)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
 
+    def close_idle(self) -> None:
+        """Makes the next call use a new connection."""
+        self._connector.close_idle()
+
     def prefixes(self) -> tuple[str, ...]:
         """Returns the key prefixes to watch.
 
--- a/src/sesamehold/process/components.py
+++ b/src/sesamehold/process/components.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 
-import aiohttp
 import attrs
 from expression import Result
 
@@ -22,6 +21,7 @@
 from sesamehold.connection import operator_http
 from sesamehold.connection import peer_client
 from sesamehold.connection import peer_server
+from sesamehold.connection import platform_http
 from sesamehold.connection import seal
 from sesamehold.connection import target_http
 from sesamehold.connection import tls
@@ -80,7 +80,7 @@
     dispatcher: policy_dispatcher.PolicyDispatcher
     notices: notice_bridge.NoticeBridge
     targets: target_http.HttpTargetConnector
-    platform_session: aiohttp.ClientSession
+    platform: platform_http.PlatformClient
     peers: peer_client.PeerClient
     sealer: seal.Sealer
     claims: claiming.FleetClaims
@@ -113,7 +113,9 @@
         sealer = seal.Sealer.from_keys(config.peer_keys)
         peers = _peer_client(sealer, certificates)
         targets = target_http.HttpTargetConnector.from_config(CONNECTIONS_PER_TARGET, clock)
-        session = aiohttp.ClientSession(connector=answer_protocol.AnswerConnector())
+        platform = platform_http.PlatformClient.from_connector(
+            config.platform_address, answer_protocol.AnswerConnector()
+        )
         bridge = notice_bridge.NoticeBridge(dispatcher)
         return cls(
             node=node,
@@ -121,14 +123,14 @@
             dispatcher=dispatcher,
             notices=bridge,
             targets=targets,
-            platform_session=session,
+            platform=platform,
             peers=peers,
             sealer=sealer,
             claims=_claims(node, peers, targets),
             ledger_pusher=ledger_peer.LedgerPusher.from_node(node, peers),
             fleet=fleet_service.FleetService.from_config(
                 node,
-                session,
+                platform,
                 lambda: _peer_client(sealer, certificates),
                 sealer,
                 lambda received: bridge.apply(received, clock.now_ms()),
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -191,7 +191,7 @@
         await self._peer_server.close()
         self._components.peers.close()
         await self._components.targets.close()
-        await self._components.platform_session.close()
+        await self._components.platform.close()
         self.node.metrics.flush()
         _LOG.info("stopped", extra={"host_id": self.node.config.host_id})
 
--- a/src/sesamehold/process/gateway/directory_events.py
+++ b/src/sesamehold/process/gateway/directory_events.py
@@ -100,3 +100,6 @@
         self, prefix: str, after_revision: int, wait_ms: int
     ) -> Result[store_replica.StoreListing, StoreUnavailable | HistoryLost]:
         """Waits for changes after a revision; returns them, or none after `wait_ms`."""
+
+    def close_idle(self) -> None:
+        """Makes the next call use a new connection, on which no late answer can come."""
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -26,6 +26,8 @@
 # The store counts as disconnected after this time without an answer, which is longer than its
 # slowest answers.
 DISCONNECTED_AFTER_MS = 700
+# A watch without changes may end this much before the end of its wait.
+EARLY_END_MS = 50
 # Targets whose entries expired while the store was unavailable register again.
 REMOVAL_GRACE_MS = store_replica.REWRITE_TIME_MS
 MAX_REASON_LENGTH = 200
@@ -97,6 +99,8 @@
                     delay_ms = failure_ms
                     failure_ms = min(RETRY_MAX_MS, failure_ms * 2)
             if outcome is not _Outcome.WATCHED:
+                # Only the answer to a watch can be told from an earlier one.
+                self._source.close_idle()
                 delay_ms *= 0.5 + self._state.rng.random()
             await asyncio.sleep(delay_ms / _MS_PER_S)
 
@@ -155,12 +159,19 @@
         sent_ms = self._state.clock.now_ms()
         wait_ms = self._watch_wait_ms(prefix, sent_ms)
         asked_era = replica.horizon.era
-        answer = await self._source.watch(prefix, replica.horizon.revision, wait_ms)
+        asked_revision = replica.horizon.revision
+        answer = await self._source.watch(prefix, asked_revision, wait_ms)
         if answer.is_ok():
             listing = answer.ok
             # Meanwhile another host may have told of a new era.
             if not listing.era == asked_era == replica.horizon.era:
                 return self._on_listing_needed(prefix, listing.era)
+            if _is_of_earlier_watch(listing, asked_revision):
+                return self._reject_late_answer(prefix, asked_revision, listing.revision)
+            waited_ms = self._state.clock.now_ms() - sent_ms
+            if not listing.items and waited_ms < wait_ms - EARLY_END_MS:
+                # Perhaps a copy of the last answer, behind which the one to this watch follows.
+                self._source.close_idle()
             self._record_answer(prefix)
             delay_ms = int(self._state.config.bounds.change_ms * CHANGE_DELAY_FRACTION)
             has_changes = listing.items or listing.invalid_entries
@@ -215,6 +226,11 @@
         self._state.log.write("store.earlier-era", prefix=prefix, era=era, known_era=known_era)
         return _Outcome.FAILED
 
+    def _reject_late_answer(self, prefix: str, after: int, revision: int) -> _Outcome:
+        self._state.metrics.store_calls.labels("late answer").inc()
+        self._state.log.write("store.late-answer", prefix=prefix, after=after, revision=revision)
+        return _Outcome.FAILED
+
     def _log_new_era(self, prefix: str, known: store_replica.StorePosition) -> None:
         """Writes a line if an era has begun, and one for each item of it that is not applied.
 
@@ -383,3 +399,9 @@
         self._state.ranking.forget(target_id)
         self._state.cold_rate_limit.forget(target_id)
         self._state.log.write("target.withdrawn", target=target_id, revision=revision)
+
+
+def _is_of_earlier_watch(listing: store_replica.StoreListing, asked_revision: int) -> bool:
+    """Returns whether an answer has changes, and none of them after the revision asked for."""
+    revisions = [item.revision for item in listing.items]
+    return bool(revisions) and max(revisions) <= asked_revision
--- a/testing/platform/test_odd_messages.py
+++ b/testing/platform/test_odd_messages.py
@@ -219,6 +219,9 @@
     async def watch(self, prefix: str, after_revision: int, wait_ms: int) -> Any:
         raise NotImplementedError
 
+    def close_idle(self) -> None:
+        raise NotImplementedError
+
 
 @hypothesis.settings(max_examples=100, deadline=None, database=None)
 @hypothesis.given(data=strategies.binary(max_size=200))
--- a/testing/platform/test_status_lines.py
+++ b/testing/platform/test_status_lines.py
@@ -187,9 +187,11 @@
 
 async def _ask_configuration(address: str) -> str:
     connector = answer_protocol.AnswerConnector()
-    async with aiohttp.ClientSession(connector=connector) as session:
-        client = platform_http.PlatformClient(address, session)
+    client = platform_http.PlatformClient.from_connector(address, connector)
+    try:
         return (await client.read("manifest")).error.reason
+    finally:
+        await client.close()
 
 
 async def _ask_operator(address: str) -> str:
--- a/testing/process/gateway/test_directory_watcher.py
+++ b/testing/process/gateway/test_directory_watcher.py
@@ -59,6 +59,9 @@
         del item, now_ms
         return ()
 
+    def close_idle(self) -> None:
+        pass
+
     async def list_items(self, prefix: str) -> _Listed:
         del prefix
         self.calls.append("list")
