Tell a late watch answer by the store's revision, not by its entries

Cause: the revisions of single entries were compared with the one asked for, and those may be anything.

Change: an answer with changes is late if the store's revision in it is not after the one asked for; with changes it must be.

--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -402,6 +402,8 @@
 
 
 def _is_of_earlier_watch(listing: store_replica.StoreListing, asked_revision: int) -> bool:
-    """Returns whether an answer has changes, and none of them after the revision asked for."""
-    revisions = [item.revision for item in listing.items]
-    return bool(revisions) and max(revisions) <= asked_revision
+    """Returns whether an answer has changes of a store that had none after the revision asked for.
+
+    Revisions of single entries are not compared: an odd entry may state any.
+    """
+    return bool(listing.items) and listing.revision <= asked_revision
