--- a/testing/platform/test_status_lines.py
+++ b/testing/platform/test_status_lines.py
@@ -117,6 +117,26 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize("status", INVALID)
+def test_answer_with_an_invalid_status_is_no_part_of_the_answer_before(status: str) -> None:
+    """Guards against a second answer that only counts as one if its status is valid."""
+
+    async def main() -> None:
+        async def script(exchange: stand_in.Exchange) -> None:
+            fields = [f"Request-Id: {exchange.request_id}", "Server-Seal: s"]
+            exchange.writer.write("\r\n".join(["HTTP/1.1 200 X", *fields, "", "part"]).encode())
+            exchange.writer.write(_answer(status, b"other", *fields))
+            await exchange.writer.drain()
+            exchange.writer.close()
+
+        async with _site("non_idempotent", script) as site:
+            await site.start_gateway()
+            answer = await site.send(stand_in.request("/svc/x", "r1"))
+        assert answer.startswith(b"HTTP/1.1 502"), answer
+
+    stand_in.run(main)
+
+
 @pytest.mark.parametrize("status", ["100", "102", "103", "199"])
 def test_interim_answer_is_waited_behind(status: str) -> None:
     """Guards against a sound answer that is refused for the interim one before it."""
