--- a/src/sesamehold/platform/store.py
+++ b/src/sesamehold/platform/store.py
@@ -13,6 +13,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import answer_protocol
 from sesamehold.platform import names
 from sesamehold.platform import published
 from sesamehold.process import listening
@@ -43,18 +44,24 @@
     """Reads and watches the store."""
 
     _base_url: str
+    _connector: answer_protocol.AnswerConnector
     _session: aiohttp.ClientSession
 
     @classmethod
     def from_config(cls, address: listening.Address) -> PlatformStore:
         """Returns a client; must be called with a running event loop."""
-        session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
-        return cls(f"http://{address}", session)
+        connector = answer_protocol.AnswerConnector()
+        session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
+        return cls(f"http://{address}", connector, session)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
 
+    def close_idle(self) -> None:
+        """Makes the next call use a new connection."""
+        self._connector.close_idle()
+
     def prefixes(self) -> tuple[str, ...]:
         """Returns the key prefixes to watch.
 
