Choose engines by the load of all hosts

Cause: an engine's cost counted only this host's own requests, and the engine of a prompt followed from rendezvous hashing with nothing of its load, so 60 to 90 hosts placed as if each were alone and a popular part filled its engine.

Change: hosts of a fleet of at least 16 report their open requests and unread prompt tokens per engine (engine_load.py), in datagrams of their own beside the heartbeats. engine_choice.py compares the homes of a prompt part, of which there are more while all of them wait longer than the mean, by the expected time to the first event. Smaller fleets and hosts that hear no reports rank engines as before.

--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -79,11 +79,24 @@
             now_ms = self._state.clock.now_ms()
             chosen = self._state.hosts.next_heartbeat(self._watcher.horizons(), now_ms)
             self._endpoint.send(chosen, self._gossip_message(now_ms, wants_answer=True))
+            self._send_loads(now_ms)
             self._check_leader(now_ms)
             self._announce_blame(now_ms)
             spread = 0.75 + 0.5 * self._state.rng.random()
             await asyncio.sleep(self._state.hosts.heartbeat_interval_ms * spread / _MS_PER_S)
 
+    def _send_loads(self, now_ms: int) -> None:
+        """Sends reports on work at engines to a few hosts.
+
+        They have datagrams of their own, so that they take no room from heartbeats.
+        """
+        if not self._state.shares_load():
+            return
+        alive = self._state.hosts.alive(now_ms)
+        chosen = self._state.rng.sample(alive, min(hosts.GOSSIP_FANOUT, len(alive)))
+        loads = tuple(self._state.engine_load.reports(now_ms))
+        self._endpoint.send(chosen, gossip.GossipMessage((), loads=loads))
+
     def leave(self) -> None:
         """Announces the graceful shutdown of this host and hands its stages over."""
         now_ms = self._state.clock.now_ms()
@@ -133,6 +146,7 @@
             self._state.log.write("host.appeared", peer=address)
         self._state.crashes.merge(message.crash_reports, now_ms)
         self._state.restrictions.merge(message.statements, now_ms)
+        self._state.engine_load.merge(message.loads, now_ms)
         if message.wants_answer:
             self._endpoint.send([source], self._reply(now_ms))
 
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -14,12 +14,16 @@
 from sesamehold.connection.wire import gateway_pb2
 from sesamehold.process import listening
 from sesamehold.process.gateway import crash_attribution
+from sesamehold.process.gateway import engine_load
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import target_restrictions
 
 # Fits the minimum MTU of IPv6 (1,280 bytes) including the IP and UDP headers.
 MAX_SIZE_BYTES = 1_200
 MAX_TARGET_ID_LENGTH = 200
+# More work than one host can have at one engine.
+MAX_ENGINE_REQUESTS = 65_535
+MAX_ENGINE_TOKENS = 2**30
 
 
 @attrs.frozen
@@ -30,6 +34,7 @@
         beats: Heartbeat entries of known hosts.
         crash_reports: Evidence on the causes of crashes of targets.
         statements: What targets stated about themselves.
+        loads: Open work of hosts at engines.
         wants_answer: Whether the receiver replies with its own entries.
         invalid_count: Entries that were left out because no host or target can have stated them.
     """
@@ -37,12 +42,13 @@
     beats: tuple[hosts.HostBeat, ...]
     crash_reports: tuple[crash_attribution.TraitReport, ...] = ()
     statements: tuple[target_restrictions.StatementReport, ...] = ()
+    loads: tuple[engine_load.HostLoad, ...] = attrs.field(default=(), kw_only=True)
     wants_answer: bool = False
     invalid_count: int = 0
 
 
 def encode(message: GossipMessage) -> bytes:
-    """Encodes a message; host entries beyond `MAX_SIZE_BYTES` are dropped from the end."""
+    """Encodes a message; hosts and loads beyond `MAX_SIZE_BYTES` are dropped from the end."""
     wire = gateway_pb2.Gossip(wants_answer=message.wants_answer)
     for report in message.crash_reports:
         wire.crash_evidence.add(
@@ -72,6 +78,18 @@
             horizons=beat.horizons,
             core_count=beat.core_count,
         )
+    for load in message.loads:
+        wire.host_loads.add(
+            address=load.address,
+            incarnation=load.incarnation,
+            sequence=load.sequence,
+            age_ms=load.age_ms,
+            targets=load.work.keys(),
+            requests=[int(work.requests) for work in load.work.values()],
+            tokens=[int(work.tokens) for work in load.work.values()],
+        )
+    while len(wire.host_loads) > 1 and wire.ByteSize() > MAX_SIZE_BYTES:
+        wire.host_loads.pop()
     while len(wire.hosts) > 1 and wire.ByteSize() > MAX_SIZE_BYTES:
         wire.hosts.pop()
     return wire.SerializeToString()
@@ -107,17 +125,48 @@
         for item in wire.target_statements
         if _is_valid_statement(item)
     )
-    entry_count = len(wire.hosts) + len(wire.target_statements)
-    invalid_count = entry_count - len(beats) - len(statements)
-    return GossipMessage(beats, reports, statements, wire.wants_answer, invalid_count)
+    loads = tuple(_host_load(item) for item in wire.host_loads if _is_valid_load(item))
+    entry_count = len(wire.hosts) + len(wire.target_statements) + len(wire.host_loads)
+    return GossipMessage(
+        beats,
+        reports,
+        statements,
+        wire.wants_answer,
+        entry_count - len(beats) - len(statements) - len(loads),
+        loads=loads,
+    )
 
 
 def _is_valid_beat(item: gateway_pb2.HostBeat) -> bool:
+    return (
+        _is_valid_address(item.address) and math.isfinite(item.core_count) and item.core_count >= 0
+    )
+
+
+def _is_valid_address(text: str) -> bool:
     try:
-        listening.Address.parse_numeric(item.address)
+        listening.Address.parse_numeric(text)
     except ValueError:
         return False
-    return math.isfinite(item.core_count) and item.core_count >= 0
+    return True
+
+
+def _is_valid_load(item: gateway_pb2.HostLoad) -> bool:
+    return (
+        _is_valid_address(item.address)
+        and len(item.targets) == len(item.requests) == len(item.tokens)
+        and len(item.targets) <= engine_load.MAX_ENGINES_PER_REPORT
+        and all(count <= MAX_ENGINE_REQUESTS for count in item.requests)
+        and all(count <= MAX_ENGINE_TOKENS for count in item.tokens)
+    )
+
+
+def _host_load(item: gateway_pb2.HostLoad) -> engine_load.HostLoad:
+    work = {
+        key: engine_load.EngineWork(requests, tokens)
+        for key, requests, tokens in zip(item.targets, item.requests, item.tokens, strict=True)
+    }
+    return engine_load.HostLoad(item.address, item.incarnation, item.sequence, item.age_ms, work)
 
 
 def _is_valid_statement(item: gateway_pb2.TargetStatement) -> bool:
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -251,6 +251,7 @@
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         del request
+        self.state.measure_engine_load()
         return web.Response(body=self.state.metrics.exposition(), content_type="text/plain")
 
     async def _close(self) -> None:
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -33,6 +33,11 @@
     invalid_items: prometheus_client.Counter = attrs.field(init=False)
     task_failures: prometheus_client.Counter = attrs.field(init=False)
     malformed_gossip: prometheus_client.Counter = attrs.field(init=False)
+    engine_choices: prometheus_client.Counter = attrs.field(init=False)
+    engine_requests: prometheus_client.Gauge = attrs.field(init=False)
+    engine_unread_tokens: prometheus_client.Gauge = attrs.field(init=False)
+    load_reports: prometheus_client.Gauge = attrs.field(init=False)
+    load_report_age: prometheus_client.Gauge = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
     dropped_log_lines: prometheus_client.Gauge = attrs.field(init=False)
 
@@ -120,6 +125,34 @@
             "Datagrams, and entries of datagrams, that could not be decoded.",
             registry=registry,
         )
+        self.engine_choices = counter(
+            "sesamehold_engine_choices_total",
+            "Engines chosen by the load of all hosts.",
+            ["service", "choice"],
+            registry=registry,
+        )
+        self.engine_requests = prometheus_client.Gauge(
+            "sesamehold_engine_open_requests",
+            "Open requests at an engine, of this host or estimated for the others.",
+            ["target", "hosts"],
+            registry=registry,
+        )
+        self.engine_unread_tokens = prometheus_client.Gauge(
+            "sesamehold_engine_unread_tokens",
+            "Prompt tokens that an engine has still to read.",
+            ["target", "hosts"],
+            registry=registry,
+        )
+        self.load_reports = prometheus_client.Gauge(
+            "sesamehold_load_reports",
+            "Other hosts whose reports on their work at engines count.",
+            registry=registry,
+        )
+        self.load_report_age = prometheus_client.Gauge(
+            "sesamehold_load_report_age_seconds",
+            "Mean age of these reports.",
+            registry=registry,
+        )
         self.blamed_traits = prometheus_client.Gauge(
             "sesamehold_blamed_traits",
             "Requests and prompt parts that are refused because they crash targets.",
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -12,6 +12,8 @@
 from sesamehold.process.gateway import cold_rate_limit
 from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import decision_log
+from sesamehold.process.gateway import engine_choice
+from sesamehold.process.gateway import engine_load
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import metrics
 from sesamehold.process.gateway import retry_budget
@@ -36,7 +38,8 @@
         metrics: Counters and histograms.
         hosts: Gossip membership of the fleet.
         directory: Registered targets and zones out of service.
-        ranking: Ranking of targets by this host's observations.
+        engine_load: Open work at engines, of this host and as reported by others.
+        ranking: Ranking of targets by observations and load.
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
         restrictions: What targets said about themselves in their answers.
@@ -60,6 +63,7 @@
     metrics: metrics.GatewayMetrics
     hosts: hosts.HostTable
     directory: targets.TargetDirectory
+    engine_load: engine_load.EngineLoad
     ranking: target_ranking.TargetRanking
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
@@ -82,6 +86,8 @@
         """Returns the initial state of a process."""
         address = str(config.peer_address)
         seeds = [str(seed) for seed in config.seeds]
+        started_ms = clock.wall_ms()
+        load = engine_load.EngineLoad(address, started_ms)
         return cls(
             config=config,
             clock=clock,
@@ -91,13 +97,14 @@
             hosts=hosts.HostTable.create(
                 address,
                 config.zone,
-                clock.wall_ms(),
+                started_ms,
                 seeds,
                 rng,
                 core_count=config.core_count,
             ),
             directory=targets.TargetDirectory(),
-            ranking=target_ranking.TargetRanking(config.zone),
+            engine_load=load,
+            ranking=target_ranking.TargetRanking(config.zone, load),
             retry_budget=retry_budget.RetryBudget(config.bounds, clock.now_ms()),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
             restrictions=target_restrictions.TargetRestrictions(rng),
@@ -110,6 +117,47 @@
         """Returns whether the load balancer may open new connections to this host."""
         return self.table is not None and len(self.directory) > 0 and not self.stopping
 
+    def shared_engine_pool(self, service: str) -> routing.EnginePool | None:
+        """Returns the capacity of a service's engines if they are chosen by the load of all hosts.
+
+        They are not in a small fleet, and not while this host hears no reports.
+        """
+        found = None if self.table is None else self.table.services.get(service)
+        if found is None or found.engine is None or not self.shares_load():
+            return None
+        has_reports = self.engine_load.has_reports(self.clock.now_ms())
+        return found.engine if has_reports else None
+
+    def shares_load(self) -> bool:
+        """Returns whether the hosts of this fleet tell each other of their work at engines."""
+        return (
+            self.table is not None
+            and any(service.engine is not None for service in self.table.services.values())
+            and self.host_count() >= engine_choice.MIN_HOSTS
+        )
+
+    def host_count(self) -> int:
+        """Returns the number of live hosts, with this one."""
+        return len(self.hosts.alive(self.clock.now_ms())) + 1
+
+    def measure_engine_load(self) -> None:
+        """Sets the metrics of the load at engines, which would cost too much at each change."""
+        now_ms, host_count = self.clock.now_ms(), self.host_count()
+        ages_ms = self.engine_load.report_ages_ms(now_ms)
+        self.metrics.load_reports.set(len(ages_ms))
+        self.metrics.load_report_age.set(sum(ages_ms) / max(1, len(ages_ms)) / 1_000)
+        self.metrics.engine_requests.clear()
+        self.metrics.engine_unread_tokens.clear()
+        for target in self.directory:
+            for name, work in (
+                ("own", self.engine_load.own(target)),
+                ("others", self.engine_load.others(target, host_count, now_ms)),
+            ):
+                if work.requests:
+                    labels = (target.target_id, name)
+                    self.metrics.engine_requests.labels(*labels).set(work.requests)
+                    self.metrics.engine_unread_tokens.labels(*labels).set(work.tokens)
+
     def try_reserve_send(self, target: targets.Target) -> bool:
         """Returns whether this host may send a request to a target now.
 
--- a/src/sesamehold/process/gateway/target_ranking.py
+++ b/src/sesamehold/process/gateway/target_ranking.py
@@ -10,8 +10,11 @@
 
 import attrs
 
+from sesamehold.process.gateway import engine_choice
+from sesamehold.process.gateway import engine_load
 from sesamehold.process.gateway import targets
 from sesamehold.version import rendezvous
+from sesamehold.version import routing
 
 # Weight of the latest observation in the moving average of the latency.
 LATENCY_EWMA_WEIGHT = 0.2
@@ -46,31 +49,42 @@
     failures: float = 0.0
     failures_at_ms: int = 0
     backoff_until_ms: int = 0
+    slowdown: float = 1.0
 
     def recent_failures(self, now_ms: int) -> float:
         """Returns the number of failures, decayed by their age."""
         age_ms = now_ms - self.failures_at_ms
         return float(self.failures * math.pow(0.5, age_ms / FAILURE_HALF_LIFE_MS))
 
+    def record_slowdown(self, ratio: float) -> None:
+        """Records a time to the first event, as a multiple of the expected one."""
+        bounded = min(engine_choice.MAX_SLOWDOWN, max(engine_choice.MIN_SLOWDOWN, ratio))
+        self.slowdown += engine_choice.SLOWDOWN_EWMA_WEIGHT * (bounded - self.slowdown)
+
 
 _CostFunction: TypeAlias = Callable[[targets.Target, _TargetStats, int], float]
 
 
-@attrs.frozen
-class EnginePreferences:
-    """Properties of a request on which the cost of an engine depends.
+@attrs.define(eq=False)
+class OpenAttempt:
+    """One attempt at a target, counted from its start to its end."""
 
-    Attributes:
-        session_id: Identity of the last part of the prompt, which engines cache; None without one.
-        cached_tokens: Number of prompt tokens that may be cached.
-        input_zone: Availability zone of the stage results, empty if there are none.
-        input_size_bytes: Size of the stage results.
-    """
+    _ranking: TargetRanking
+    _target: targets.Target
+    _request: engine_load.OpenRequest | None = None
+    _is_open: bool = True
 
-    session_id: str | None
-    cached_tokens: int = 0
-    input_zone: str = ""
-    input_size_bytes: int = 0
+    def on_answer(self, latency_ms: float) -> None:
+        """Records the time from the send to the answer or to the first event."""
+        self._ranking.record_latency(self._target, latency_ms, self._request)
+
+    def end(self) -> None:
+        """Removes the attempt from the counts; has no effect when repeated."""
+        if self._is_open:
+            self._is_open = False
+            self._ranking.record_end(self._target)
+            if self._request is not None:
+                self._request.end()
 
 
 @attrs.define
@@ -82,30 +96,64 @@
     """
 
     zone: str
+    _load: engine_load.EngineLoad
     _stats: dict[str, _TargetStats] = attrs.field(factory=dict)
+    _pace: engine_choice.ReadingPace = attrs.field(factory=engine_choice.ReadingPace)
 
     def rank_plain(self, candidates: Iterable[targets.Target], now_ms: int) -> list[targets.Target]:
         """Returns the targets of a service without engines, lowest expected latency first."""
         return self._rank(candidates, self._plain_cost, now_ms)
 
     def rank_engines(
-        self, candidates: Collection[targets.Target], preferences: EnginePreferences, now_ms: int
+        self,
+        candidates: Collection[targets.Target],
+        preferences: engine_choice.EnginePreferences,
+        now_ms: int,
     ) -> list[targets.Target]:
-        """Returns engines, earliest expected first event first."""
+        """Returns engines by the load of this host alone, earliest expected first event first."""
         preferred = self.preferred_engine(candidates, preferences.session_id)
 
         def cost(target: targets.Target, stats: _TargetStats, now_ms: int) -> float:
             cost_ms = stats.latency_ms + stats.running * ENGINE_LOAD_COST_MS
             if preferred is not None and target.target_id != preferred:
                 cost_ms += CACHE_MISS_MS + preferences.cached_tokens * CACHE_MISS_MS_PER_TOKEN
-            if preferences.input_zone and preferences.input_zone != target.zone:
-                cost_ms += preferences.input_size_bytes / 1e6 * CROSS_ZONE_INPUT_COST_MS_PER_MB
-            if target.zone != self.zone:
-                cost_ms += CROSS_ZONE_COST_MS
+            cost_ms += self._crossing_ms(target, preferences)
             return cost_ms * (1 + FAILURE_PENALTY * stats.recent_failures(now_ms))
 
         return self._rank(candidates, cost, now_ms)
 
+    def order_engines(
+        self,
+        candidates: Collection[targets.Target],
+        preferences: engine_choice.EnginePreferences,
+        pool: routing.EnginePool,
+        host_count: int,
+        now_ms: int,
+    ) -> engine_choice.EngineOrder:
+        """Returns engines by the load of all hosts, best first.
+
+        Args:
+            candidates: Engines of the service.
+            preferences: What the request needs.
+            pool: Capacity of each engine.
+            host_count: Number of live hosts, with this one.
+            now_ms: Monotonic time.
+        """
+        engines = []
+        for target in candidates:
+            stats = self._stats_for(target)
+            engines.append(
+                engine_choice.EngineState(
+                    target,
+                    self._load.total(target, host_count, now_ms),
+                    stats.slowdown,
+                    1 + FAILURE_PENALTY * stats.recent_failures(now_ms),
+                    self._crossing_ms(target, preferences),
+                    is_backing_off=now_ms < stats.backoff_until_ms,
+                )
+            )
+        return engine_choice.order_engines(engines, preferences, pool, self._pace)
+
     def preferred_engine(
         self, candidates: Collection[targets.Target], session_id: str | None
     ) -> str | None:
@@ -117,19 +165,32 @@
             return None
         return rendezvous.owner([target.target_id for target in candidates], session_id)
 
-    def record_start(self, target: targets.Target) -> None:
-        """Counts an attempt that starts."""
+    def start(self, target: targets.Target, unread_tokens: int | None = None) -> OpenAttempt:
+        """Counts an attempt that starts; the caller ends it.
+
+        Args:
+            target: Target of the attempt.
+            unread_tokens: Prompt tokens that it reads, None if the target is no engine.
+        """
         self._stats_for(target).running += 1
+        request = None if unread_tokens is None else self._load.start(target, unread_tokens)
+        return OpenAttempt(self, target, request)
 
     def record_end(self, target: targets.Target) -> None:
         """Removes an attempt that has ended from the count."""
         stats = self._stats_for(target)
         stats.running = max(0, stats.running - 1)
 
-    def record_latency(self, target: targets.Target, latency_ms: float) -> None:
+    def record_latency(
+        self, target: targets.Target, latency_ms: float, request: engine_load.OpenRequest | None
+    ) -> None:
         """Records the time from a send to the answer or to the first event."""
         stats = self._stats_for(target)
         stats.latency_ms += LATENCY_EWMA_WEIGHT * (latency_ms - stats.latency_ms)
+        if request is not None and request.unread_tokens:
+            self._pace.record(request.unread_tokens, latency_ms)
+            stats.record_slowdown(latency_ms / self._pace.expected_ms(request.unread_tokens))
+            request.on_first_event()
 
     def record_failure(self, target: targets.Target, now_ms: int) -> None:
         """Records a failed attempt."""
@@ -158,6 +219,17 @@
             cost_ms += CROSS_ZONE_COST_MS
         return cost_ms * (1 + FAILURE_PENALTY * stats.recent_failures(now_ms))
 
+    def _crossing_ms(
+        self, target: targets.Target, preferences: engine_choice.EnginePreferences
+    ) -> float:
+        """Returns the cost of zones between this host, the stage results and an engine."""
+        cost_ms = 0.0
+        if preferences.input_zone and preferences.input_zone != target.zone:
+            cost_ms += preferences.input_size_bytes / 1e6 * CROSS_ZONE_INPUT_COST_MS_PER_MB
+        if target.zone != self.zone:
+            cost_ms += CROSS_ZONE_COST_MS
+        return cost_ms
+
     def _rank(
         self,
         candidates: Iterable[targets.Target],
--- a/src/sesamehold/request/gateway/open_answer.py
+++ b/src/sesamehold/request/gateway/open_answer.py
@@ -4,12 +4,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 from typing import TypeAlias
 
 import attrs
 from expression import Result
 
+from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import ports
@@ -26,8 +26,8 @@
         target: The target.
         answer: Its answer.
         started_ms: Monotonic time at which the request was sent.
+        attempt: The attempt, which ends when the answer needs its target no more.
         is_resumed: Whether it goes on with the stream of another target.
-        on_release: Called once, when the answer needs its target no more.
         is_counted: Whether the attempts of the request include this run.
         is_broken: Whether it is recorded that the answer broke off.
     """
@@ -35,7 +35,7 @@
     target: targets.Target
     answer: ports.TargetAnswer
     started_ms: int
-    on_release: Callable[[], None]
+    attempt: target_ranking.OpenAttempt
     is_resumed: bool = False
     is_counted: bool = False
     is_broken: bool = False
@@ -46,7 +46,7 @@
         if not self._is_released:
             self._is_released = True
             self.answer.release()
-            self.on_release()
+            self.attempt.end()
 
 
 @attrs.frozen
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -198,13 +198,11 @@
         self, target: targets.Target
     ) -> Result[open_answer.OpenAnswer, attempts.AttemptResult]:
         """Sends the request once and waits for the head of the answer."""
-        ranking = self._services.state.ranking
         started_ms = self._now_ms()
         # A late answer to the attempt before carries the same id, so it must come on another
         # connection.
         may_reuse = self._route.repeatable and target.incarnation not in self._search.tried
-        self._search.tried.add(target.incarnation)
-        ranking.record_start(target)
+        attempt = self._search.start(target)
         self._in_flight = True
         is_open = False
         is_resumed = self._streams.splitter.last_id is not None
@@ -218,7 +216,7 @@
                             target,
                             answer,
                             started_ms,
-                            on_release=lambda: ranking.record_end(target),
+                            attempt,
                             is_resumed=is_resumed,
                         )
                     )
@@ -230,7 +228,7 @@
             raise
         finally:
             if not is_open:
-                ranking.record_end(target)
+                attempt.end()
 
     async def _send(
         self, target: targets.Target, started_ms: int, *, may_reuse: bool
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from sesamehold.process.gateway import engine_choice
 from sesamehold.process.gateway import state as states
 from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import targets
@@ -32,6 +33,7 @@
     _service: str
     _head: messages.RequestHead
     tried: set[str] = attrs.field(factory=set)
+    _order: engine_choice.EngineOrder | None = None
 
     async def find(
         self, results: ports.StageResults | None, *, untried_only: bool = False
@@ -52,6 +54,7 @@
             allowed = untried if untried or untried_only else candidates
             for target in self._rank(allowed, results):
                 if self._state.try_reserve_send(target):
+                    self._record_choice(target)
                     return target
             if self._now_ms() >= wait_until_ms or self.is_restricted_until(wait_until_ms):
                 return None
@@ -87,13 +90,25 @@
         untried = [item for item in candidates if item.incarnation not in self.tried]
         return self._next_send_ms(untried, now_ms) == now_ms
 
+    def start(self, target: targets.Target) -> target_ranking.OpenAttempt:
+        """Counts an attempt that starts."""
+        self.tried.add(target.incarnation)
+        if self._head.prompt is None:
+            return self._state.ranking.start(target)
+        home = self._state.ranking.preferred_engine(
+            self._state.directory.usable(self._service), self._head.prompt.session_id
+        )
+        unread_tokens = self._preferences(self._head.prompt).unread_tokens(
+            is_home=target.target_id == home
+        )
+        return self._state.ranking.start(target, unread_tokens)
+
     def preferred_zone(self) -> str:
         """Returns the availability zone of the best engine for the request, empty for any."""
         if self._head.prompt is None:
             return ""
         engines = self._state.directory.usable(self._service)
-        preferences = _engine_preferences(self._head.prompt)
-        ranked = self._state.ranking.rank_engines(engines, preferences, self._now_ms())
+        ranked = self._rank_engines(engines, self._preferences(self._head.prompt))
         return ranked[0].zone if ranked else ""
 
     def _next_send_ms(self, candidates: list[targets.Target], now_ms: int) -> int | None:
@@ -115,14 +130,55 @@
             ranked = self._state.ranking.rank_plain(candidates, now_ms)
         else:
             preferences = attrs.evolve(
-                _engine_preferences(prompt),
+                self._preferences(prompt),
                 input_zone=results.zone if results is not None else "",
                 input_size_bytes=self._input_size_bytes(),
             )
-            ranked = self._state.ranking.rank_engines(candidates, preferences, now_ms)
+            ranked = self._rank_engines(candidates, preferences)
         # Cold targets are sorted last, so that they are used only if no other target is available.
         return sorted(ranked, key=lambda target: target.cold_until_ms > now_ms)
 
+    def _rank_engines(
+        self, candidates: list[targets.Target], preferences: engine_choice.EnginePreferences
+    ) -> list[targets.Target]:
+        now_ms = self._now_ms()
+        pool = self._state.shared_engine_pool(self._service)
+        if pool is None:
+            self._order = None
+            return self._state.ranking.rank_engines(candidates, preferences, now_ms)
+        self._order = self._state.ranking.order_engines(
+            candidates, preferences, pool, self._state.host_count(), now_ms
+        )
+        return self._order.engines
+
+    def _record_choice(self, target: targets.Target) -> None:
+        """Counts an engine that was chosen by the load of all hosts."""
+        order = self._order
+        if order is None or not order.homes:
+            return
+        choice = order.choice_of(target)
+        self._state.metrics.engine_choices.labels(self._service, choice.value).inc()
+        if choice is not engine_choice.Choice.FIRST_HOME:
+            home = order.homes[0]
+            self._state.log.write(
+                "engine.left-home",
+                request=self._head.request_id,
+                homes=len(order.homes),
+                home=home,
+                home_ms=round(order.expected_ms[home]),
+                target=target.target_id,
+                target_ms=round(order.expected_ms[target.target_id]),
+            )
+
+    def _preferences(self, prompt: messages.Prompt) -> engine_choice.EnginePreferences:
+        return engine_choice.EnginePreferences(
+            session_id=prompt.session_id,
+            cached_tokens=sum(part.token_count for part in prompt.shared_parts),
+            request_id=self._head.request_id,
+            prompt_tokens=prompt.prompt_tokens,
+            output_tokens=prompt.output_tokens,
+        )
+
     def _input_size_bytes(self) -> int:
         consumed = {index for stage in self._route.stages for index in stage.after}
         return sum(
@@ -135,10 +191,3 @@
 
     def _now_ms(self) -> int:
         return self._state.clock.now_ms()
-
-
-def _engine_preferences(prompt: messages.Prompt) -> target_ranking.EnginePreferences:
-    return target_ranking.EnginePreferences(
-        session_id=prompt.session_id,
-        cached_tokens=sum(part.token_count for part in prompt.shared_parts),
-    )
--- a/testing/platform/test_fleet.py
+++ b/testing/platform/test_fleet.py
@@ -13,12 +13,15 @@
 import pytest
 
 from sesamehold.connection.gateway import fleet
+from sesamehold.connection.gateway import gossip
 from sesamehold.process import clock as clocks
 from sesamehold.process import listening
+from sesamehold.process.gateway import engine_load
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import settings as gateway_settings
 from sesamehold.process.gateway import state as states
 from sesamehold.request.gateway import ports
+from sesamehold.version import routing
 
 REQUEST = ports.StageRequest("r1", "k", (), 0, 1_000, 5_000)
 COMPLETED_PIECES = (ports.CompletedPiece(0, 0, "h", "t", 1),)
@@ -116,3 +119,52 @@
         assert peer.requests[0].completed_pieces == COMPLETED_PIECES
 
     stand_in.run(main)
+
+
+@attrs.define
+class _EndpointStub:
+    """Gossip endpoint stub that records what is sent."""
+
+    sent: list[tuple[list[str], gossip.GossipMessage]] = attrs.field(factory=list)
+
+    def send(self, addresses: list[str], message: gossip.GossipMessage) -> None:
+        self.sent.append((addresses, message))
+
+
+@pytest.mark.parametrize(
+    ("peer_count", "has_engines", "datagram_count"),
+    [
+        pytest.param(7, True, 0, id="a few hosts"),
+        pytest.param(60, False, 0, id="no engines"),
+        pytest.param(60, True, 1, id="many hosts"),
+    ],
+)
+def test_load_reports_take_no_room_from_heartbeats(
+    peer_count: int, has_engines: bool, datagram_count: int
+) -> None:
+    """Guards against live hosts that look dead because reports displace their heartbeats."""
+
+    async def main() -> None:
+        peers = {f"10.0.0.1:{port}": _StageRunnerStub([]) for port in range(1, peer_count + 1)}
+        instance = _fleet(_StageRunnerStub([]), peers, own_incarnation=1)
+        state = instance._state
+        engine = routing.EnginePool(64, 400_000) if has_engines else None
+        service = routing.Service("svc", 100, engine=engine)
+        state.table = routing.RoutingTable.from_parts(1, (), (service,), {}, requires_key=False)
+        now_ms = state.clock.now_ms()
+        reports = [engine_load.HostLoad(address, 1, 1, 0, {}) for address in peers]
+        state.engine_load.merge(reports, now_ms)
+        heartbeat = instance._gossip_message(now_ms, wants_answer=True)
+        assert not heartbeat.loads
+        assert len(heartbeat.beats) == min(peer_count + 1, hosts.MAX_HOSTS_PER_DATAGRAM)
+        endpoint = _EndpointStub()
+        instance._endpoint = endpoint  # type: ignore[assignment]
+        instance._send_loads(now_ms)
+        assert len(endpoint.sent) == datagram_count
+        for addresses, message in endpoint.sent:
+            assert len(addresses) == hosts.GOSSIP_FANOUT
+            assert message.loads
+            assert not message.beats
+            assert not message.wants_answer
+
+    stand_in.run(main)
--- a/testing/platform/test_odd_messages.py
+++ b/testing/platform/test_odd_messages.py
@@ -59,6 +59,21 @@
     return wire
 
 
+def _load(**changes: Any) -> gateway_pb2.Gossip:
+    wire = gateway_pb2.Gossip()
+    fields: dict[str, Any] = {
+        "address": "127.0.0.1:9",
+        "incarnation": 1,
+        "sequence": 1,
+        "age_ms": 1,
+        "targets": [7],
+        "requests": [1],
+        "tokens": [1],
+    }
+    wire.host_loads.add(**{**fields, **changes})
+    return wire
+
+
 ODD_GOSSIP = [
     *(
         pytest.param(_beat(address=text), id=f"address-{name}")
@@ -88,6 +103,17 @@
     pytest.param(_statement(born_ms=2**64 - 1), id="born-64-bits"),
     pytest.param(_statement(target_id=""), id="target-empty"),
     pytest.param(_statement(target_id="x" * 900), id="target-long"),
+    pytest.param(_load(address="word"), id="load-address"),
+    pytest.param(_load(incarnation=2**64 - 1, sequence=2**64 - 1), id="load-64-bits"),
+    pytest.param(_load(age_ms=2**32 - 1), id="load-age"),
+    pytest.param(_load(requests=[]), id="load-requests-missing"),
+    pytest.param(_load(tokens=[1, 2]), id="load-tokens-left-over"),
+    pytest.param(_load(requests=[2**32 - 1]), id="load-requests-huge"),
+    pytest.param(_load(tokens=[2**32 - 1]), id="load-tokens-huge"),
+    pytest.param(_load(targets=[7, 7], requests=[1, 1], tokens=[1, 1]), id="load-target-twice"),
+    pytest.param(
+        _load(targets=range(200), requests=[1] * 200, tokens=[1] * 200), id="load-many-targets"
+    ),
 ]
 
 
@@ -106,6 +132,10 @@
     state.hosts.merge(message.beats, now_ms)
     state.crashes.merge(message.crash_reports, now_ms)
     state.restrictions.merge(message.statements, now_ms)
+    state.engine_load.merge(message.loads, now_ms)
+    engine = targets.Target("i-0", 1, "s", "a:1", "z")
+    work = state.engine_load.others(engine, 2, now_ms)
+    assert math.isfinite(work.requests + work.tokens)
     state.hosts.leader(now_ms)
     state.crashes.take_blame_changes(now_ms)
     for address in state.hosts.alive(now_ms):
@@ -120,6 +150,7 @@
         tuple(state.hosts.gossip_entries(now_ms)),
         tuple(state.crashes.reports(now_ms)),
         tuple(state.restrictions.reports(now_ms)),
+        loads=tuple(state.engine_load.reports(now_ms)),
     )
     assert gossip.decode(gossip.encode(reply)) is not None
 
--- a/testing/request/gateway/test_stream_forwarding.py
+++ b/testing/request/gateway/test_stream_forwarding.py
@@ -12,6 +12,8 @@
 import pytest
 
 from sesamehold.process import clock as clocks
+from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import open_answer
@@ -102,7 +104,8 @@
 
 def _opened(answer: ScriptedAnswer) -> open_answer.OpenAnswer:
     target = targets.Target("i-1", 1, "svc", "127.0.0.1:1", "z1")
-    return open_answer.OpenAnswer(target, answer, 0, lambda: None)
+    ranking = target_ranking.TargetRanking("z1", engine_load.EngineLoad("127.0.0.1:9", 1))
+    return open_answer.OpenAnswer(target, answer, 0, ranking.start(target))
 
 
 OTHER = [_event(2), _event(3)]
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -138,6 +138,8 @@
         "process/gateway/crash_attribution.py",
         "process/gateway/target_restrictions.py",
         "process/gateway/directory_events.py",
+        "process/gateway/engine_choice.py",
+        "process/gateway/engine_load.py",
         "process/gateway/hosts.py",
         "process/gateway/item_order.py",
         "process/gateway/retry_budget.py",
