Let failing, full and slow homes of a prompt part count as homes without room

Cause: homes were judged by their queue alone, so a request whose two homes had just failed went to one of them, and the stage results' zone was not compared. A sum over very few reports was scaled to the whole fleet.

Change: a home has room by its expected start, with slowdown and recent failures, and if it has a slot and memory; the first engine of the part's order in the zone of the stage results is compared too; the load of others counts from eight reports on.

--- a/src/sesamehold/process/gateway/engine_choice.py
+++ b/src/sesamehold/process/gateway/engine_choice.py
@@ -15,6 +15,8 @@
 from collections.abc import Sequence
 import enum
 import heapq
+import itertools
+import math
 
 import attrs
 
@@ -25,6 +27,8 @@
 
 # Hosts from which on the requests of the others matter more than a host's own.
 MIN_HOSTS = 16
+# Reports of other hosts from which on they stand for the whole fleet.
+MIN_REPORTS = 8
 # Engines drawn for a request without shared parts.
 DRAWN_COUNT = 2
 # Homes of a prompt part for which there is room.
@@ -149,6 +153,27 @@
     extra_ms: float
     is_backing_off: bool
 
+    def start_ms(self, pool: routing.EnginePool, pace: ReadingPace) -> float:
+        """Returns the expected time to the first event of a prompt that need not be read."""
+        # An engine whose slots are all in use takes about twice as long.
+        busy_ms = pace.base_ms * self.work.requests / max(1, pool.slots)
+        queued_ms = pace.ms_per_token * self.work.tokens
+        return self.penalty * self.slowdown * (pace.base_ms + busy_ms + queued_ms)
+
+    def cost_ms(self, tokens: float, pool: routing.EnginePool, pace: ReadingPace) -> float:
+        """Returns the cost of a request for which the engine reads a number of tokens."""
+        reading_ms = self.slowdown * pace.ms_per_token * tokens
+        return self.start_ms(pool, pace) + self.penalty * (reading_ms + self.extra_ms)
+
+    def is_usable(self, size_tokens: int, pool: routing.EnginePool, pace: ReadingPace) -> bool:
+        """Returns whether the engine has a slot and memory for a request, and is not left alone."""
+        held_tokens = self.work.requests * pace.mean_tokens
+        return (
+            not self.is_backing_off
+            and self.work.requests < pool.slots
+            and held_tokens + size_tokens <= pool.cache_tokens
+        )
+
 
 class Choice(enum.Enum):
     """What an engine is for the shared parts of a prompt."""
@@ -192,46 +217,53 @@
     A request leaves the first home of its prompt only for an engine at which it waits so much less
     that this makes up for reading the shared parts again.
     """
-    base_ms, ms_per_token = pace.base_ms, pace.ms_per_token
-    reread_ms = ms_per_token * preferences.cached_tokens
     by_name = {engine.target.target_id: engine for engine in engines}
-    waits_ms = {
-        # An engine whose slots are all in use takes about twice as long.
-        name: engine.slowdown
-        * (base_ms * engine.work.requests / max(1, pool.slots) + ms_per_token * engine.work.tokens)
+    size_tokens = preferences.prompt_tokens + preferences.output_tokens
+    starts_ms = {
+        name: engine.start_ms(pool, pace)
         for name, engine in by_name.items()
+        if engine.is_usable(size_tokens, pool, pace)
     }
     homes: list[str] = []
-    if preferences.session_id is not None:
+    tried: set[str] = set()
+    if preferences.session_id is None:
+        tried.update(draw(by_name, preferences.request_id))
+    else:
         ranked = rendezvous.ranked(by_name, preferences.session_id)
-        mean_ms = sum(waits_ms.values()) / max(1, len(waits_ms))
-        homes = _homes(ranked, waits_ms, mean_ms + max(reread_ms, base_ms))
-    tried = set(homes or draw(by_name, preferences.request_id))
-    keys: dict[str, tuple[bool, bool, float]] = {}
+        reread_ms = pace.ms_per_token * preferences.cached_tokens
+        homes = _homes(ranked, starts_ms, max(reread_ms, pace.base_ms))
+        near = (name for name in ranked if by_name[name].target.zone == preferences.input_zone)
+        tried.update(homes, itertools.islice(near, 1))
+    costs_ms = {}
     for name, engine in by_name.items():
         is_home = homes[:1] == [name]
-        reading_ms = ms_per_token * preferences.unread_tokens(is_home=is_home)
+        tokens = float(preferences.unread_tokens(is_home=is_home))
         if not is_home:
-            reading_ms += (REREAD_WEIGHT - 1) * reread_ms
-        time_ms = waits_ms[name] + engine.slowdown * (base_ms + reading_ms)
-        held_tokens = engine.work.requests * pace.mean_tokens
-        is_full = engine.work.requests >= pool.slots or (
-            held_tokens + preferences.prompt_tokens + preferences.output_tokens > pool.cache_tokens
-        )
-        cost_ms = engine.penalty * (time_ms + engine.extra_ms)
-        keys[name] = (engine.is_backing_off or is_full, name not in tried, cost_ms)
-    ordered = sorted((engine.target for engine in engines), key=lambda item: keys[item.target_id])
-    return EngineOrder(ordered, homes, {name: key[2] for name, key in keys.items()})
+            tokens += (REREAD_WEIGHT - 1) * preferences.cached_tokens
+        costs_ms[name] = engine.cost_ms(tokens, pool, pace)
+    order = sorted(
+        by_name, key=lambda name: (name not in starts_ms, name not in tried, costs_ms[name])
+    )
+    return EngineOrder([by_name[name].target for name in order], homes, costs_ms)
 
 
-def _homes(ranked: Sequence[str], waits_ms: Mapping[str, float], limit_ms: float) -> list[str]:
+def _homes(ranked: Sequence[str], starts_ms: Mapping[str, float], margin_ms: float) -> list[str]:
     """Returns the homes of a part: the fewest of the ranked engines of which one has room.
 
-    All hosts agree on them as far as they know the same load. A part that many ask for fills its
+    An engine has room if its first events are not later than the mean by more than a margin. All
+    hosts agree on the homes as far as they know the same load. A part that many ask for fills its
     homes and gets more of them, and loses them when its demand falls.
+
+    Args:
+        ranked: All engines in the order in which they become homes.
+        starts_ms: Expected time to the first event, only of usable engines.
+        margin_ms: The margin.
     """
+    limit_ms = sum(starts_ms.values()) / max(1, len(starts_ms)) + margin_ms
     count = MIN_HOMES
-    while count < len(ranked) and all(waits_ms[name] > limit_ms for name in ranked[:count]):
+    while count < len(ranked) and not any(
+        starts_ms.get(name, math.inf) <= limit_ms for name in ranked[:count]
+    ):
         count += 1
     return list(ranked[:count])
 
--- a/src/sesamehold/process/gateway/engine_load.py
+++ b/src/sesamehold/process/gateway/engine_load.py
@@ -190,10 +190,6 @@
         ages_ms = (now_ms - known.made_ms for known in self._known.values())
         return [age_ms for age_ms in ages_ms if age_ms < REPORT_LIFETIME_MS]
 
-    def has_reports(self, now_ms: int) -> bool:
-        """Returns whether the report of any other host still counts."""
-        return any(now_ms - known.made_ms < REPORT_LIFETIME_MS for known in self._known.values())
-
     def _drop_lapsed(self, now_ms: int) -> None:
         newest = sorted(self._known.items(), key=lambda item: item[1].made_ms, reverse=True)
         self._known = {
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -120,13 +120,13 @@
     def shared_engine_pool(self, service: str) -> routing.EnginePool | None:
         """Returns the capacity of a service's engines if they are chosen by the load of all hosts.
 
-        They are not in a small fleet, and not while this host hears no reports.
+        They are not in a small fleet, and not while this host hears from too few others.
         """
         found = None if self.table is None else self.table.services.get(service)
         if found is None or found.engine is None or not self.shares_load():
             return None
-        has_reports = self.engine_load.has_reports(self.clock.now_ms())
-        return found.engine if has_reports else None
+        report_count = len(self.engine_load.report_ages_ms(self.clock.now_ms()))
+        return found.engine if report_count >= engine_choice.MIN_REPORTS else None
 
     def shares_load(self) -> bool:
         """Returns whether the hosts of this fleet tell each other of their work at engines."""
--- a/testing/process/gateway/test_engine_choice.py
+++ b/testing/process/gateway/test_engine_choice.py
@@ -117,7 +117,8 @@
         preferences = engine_choice.EnginePreferences(
             part, SHARED_TOKENS, "", 0, str(len(waits)), SHARED_TOKENS + OWN_TOKENS
         )
-        if is_shared and host.load.has_reports(int(now_ms)):
+        report_count = len(host.load.report_ages_ms(int(now_ms)))
+        if is_shared and report_count >= engine_choice.MIN_REPORTS:
             ranked = host.ranking.order_engines(
                 candidates, preferences, POOL, host_count, int(now_ms)
             ).engines
@@ -188,6 +189,12 @@
 SHORT = engine_choice.EnginePreferences("p", 60, "", 0, "r", 600)
 FULL = engine_load.EngineWork(64, 0)
 NO_MEMORY = engine_load.EngineWork(63, 0)
+FAILING: dict[str, object] = {"penalty": 5.0}
+OTHER_ZONE: dict[str, object] = {
+    "target": targets.Target(RANKED[5], 1, "svc", "10.1.0.1:80", "z2"),
+    "extra_ms": -1_000.0,
+}
+NEAR_INPUTS = attrs.evolve(LONG, input_zone="z2")
 
 
 @pytest.mark.parametrize(
@@ -204,6 +211,8 @@
         pytest.param({}, {0: {"is_backing_off": True}}, LONG, 1, id="backs off"),
         pytest.param({}, {0: {"slowdown": 4.0}}, SHORT, 1, id="slow"),
         pytest.param({}, {0: {"penalty": 5.0}}, LONG, 1, id="fails"),
+        pytest.param({}, {0: FAILING, 1: FAILING}, LONG, 2, id="two homes fail"),
+        pytest.param({}, {5: OTHER_ZONE}, NEAR_INPUTS, 5, id="stage results in another zone"),
     ],
 )
 def test_home_is_left_only_for_what_is_gained(
--- a/testing/process/gateway/test_engine_load.py
+++ b/testing/process/gateway/test_engine_load.py
@@ -52,7 +52,7 @@
         load.merge([report], 0)
     others = load.others(ENGINE, 2, now_ms)
     assert (others.requests, others.tokens) == pytest.approx((requests, 100 * requests))
-    assert load.has_reports(now_ms) == bool(load.report_ages_ms(now_ms))
+    assert len(load.report_ages_ms(now_ms)) <= 1
 
 
 def test_own_work_is_counted_until_it_ends() -> None:
@@ -134,11 +134,11 @@
     lone.start(ENGINE, 500)
     for now_ms in range(0, 2_000, HEARTBEAT_MS):
         lossy_gossip.exchange(loads, rng, now_ms)
-    assert lone.has_reports(now_ms)
+    assert lone.report_ages_ms(now_ms)
     for now_ms in range(2_000, 2_000 + 2 * LIFETIME_MS, HEARTBEAT_MS):
         lossy_gossip.exchange(rest, rng, now_ms)
-    assert not lone.has_reports(now_ms)
+    assert not lone.report_ages_ms(now_ms)
     assert lone.total(ENGINE, 1, now_ms) == lone.own(ENGINE)
     assert all(report.address != lone.report().address for report in rest[0].reports(now_ms))
     lossy_gossip.exchange(loads, rng, now_ms)
-    assert lone.has_reports(now_ms)
+    assert lone.report_ages_ms(now_ms)
--- a/testing/request/gateway/test_target_search.py
+++ b/testing/request/gateway/test_target_search.py
@@ -31,6 +31,7 @@
 )
 POOL = routing.EnginePool(64, 400_000)
 MANY = engine_choice.MIN_HOSTS
+HEARD = engine_choice.MIN_REPORTS
 LIFETIME_MS = engine_load.REPORT_LIFETIME_MS
 
 
@@ -62,32 +63,39 @@
 
 
 @pytest.mark.parametrize(
-    ("host_count", "pool", "heard_ms", "is_shared"),
+    ("host_count", "pool", "report_count", "age_ms", "is_shared"),
     [
-        pytest.param(1, POOL, 0, False, id="a single host"),
-        pytest.param(MANY - 1, POOL, 0, False, id="a few hosts"),
-        pytest.param(MANY, None, 0, False, id="engines without published capacity"),
-        pytest.param(MANY, POOL, None, False, id="no report heard"),
-        pytest.param(MANY, POOL, LIFETIME_MS, False, id="reports lapsed"),
-        pytest.param(MANY, POOL, 0, True, id="many hosts"),
+        pytest.param(1, POOL, HEARD, 0, False, id="a single host"),
+        pytest.param(MANY - 1, POOL, HEARD, 0, False, id="a few hosts"),
+        pytest.param(MANY, None, HEARD, 0, False, id="engines without published capacity"),
+        pytest.param(MANY, POOL, 0, 0, False, id="no report heard"),
+        pytest.param(MANY, POOL, HEARD - 1, 0, False, id="too few reports heard"),
+        pytest.param(MANY, POOL, HEARD, LIFETIME_MS, False, id="reports lapsed"),
+        pytest.param(MANY, POOL, HEARD, 0, True, id="many hosts"),
     ],
 )
 def test_load_of_others_counts_only_where_it_is_shared(
-    host_count: int, pool: routing.EnginePool | None, heard_ms: int | None, is_shared: bool
+    host_count: int,
+    pool: routing.EnginePool | None,
+    report_count: int,
+    age_ms: int,
+    is_shared: bool,
 ) -> None:
     """Guards against other decisions in small fleets, and against a host that is cut off."""
     clock = clocks.ManualClock()
     state = _state(host_count, clock, pool)
     work = {
-        engine_load.engine_key(engine): engine_load.EngineWork(20, 90_000)
+        engine_load.engine_key(engine): engine_load.EngineWork(2, 9_000)
         for engine in ENGINES
         if engine.target_id == RANKED[0]
     }
-    if heard_ms is not None:
-        report = engine_load.HostLoad("10.2.0.1:1", 1, 1, 0, work)
-        state.engine_load.merge([report], clock.now_ms())
-        clock.advance(heard_ms)
-        _hear_hosts(state, host_count, 2)
+    reports = [
+        engine_load.HostLoad(f"10.2.0.1:{port}", 1, 1, 0, work)
+        for port in range(1, report_count + 1)
+    ]
+    state.engine_load.merge(reports, clock.now_ms())
+    clock.advance(age_ms)
+    _hear_hosts(state, host_count, 2)
     assert _find(state) == RANKED[1 if is_shared else 0]
     choices = state.metrics.exposition().decode()
     assert ('choice="further-home",service="svc"} 1.0' in choices) == is_shared
