--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -94,8 +94,10 @@
             return
         alive = self._state.hosts.alive(now_ms)
         chosen = self._state.rng.sample(alive, min(hosts.GOSSIP_FANOUT, len(alive)))
+        self._state.engine_slowdowns.update(self._state.host_count(), now_ms)
         loads = tuple(self._state.engine_load.reports(now_ms))
-        self._endpoint.send(chosen, gossip.GossipMessage((), loads=loads))
+        slowdowns = self._state.engine_slowdowns.reports()
+        self._endpoint.send(chosen, gossip.GossipMessage((), loads=loads, slowdowns=slowdowns))
 
     def leave(self) -> None:
         """Announces the graceful shutdown of this host and hands its stages over."""
@@ -147,6 +149,7 @@
         self._state.crashes.merge(message.crash_reports, now_ms)
         self._state.restrictions.merge(message.statements, now_ms)
         self._state.engine_load.merge(message.loads, now_ms)
+        self._state.engine_slowdowns.merge(message.slowdowns)
         if message.wants_answer:
             self._endpoint.send([source], self._reply(now_ms))
 
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import math
 from typing import Any
@@ -15,6 +16,7 @@
 from sesamehold.process import listening
 from sesamehold.process.gateway import crash_attribution
 from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import engine_slowdowns
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import target_restrictions
 
@@ -24,6 +26,8 @@
 # More work than one host can have at one engine.
 MAX_ENGINE_REQUESTS = 65_535
 MAX_ENGINE_TOKENS = 2**30
+# Weights of averages are sent in thousandths of an observation.
+WEIGHT_FACTOR = 1_000
 
 
 @attrs.frozen
@@ -35,6 +39,7 @@
         crash_reports: Evidence on the causes of crashes of targets.
         statements: What targets stated about themselves.
         loads: Open work of hosts at engines.
+        slowdowns: Averages of the sender on how slow engines are.
         wants_answer: Whether the receiver replies with its own entries.
         invalid_count: Entries that were left out because no host or target can have stated them.
     """
@@ -43,6 +48,7 @@
     crash_reports: tuple[crash_attribution.TraitReport, ...] = ()
     statements: tuple[target_restrictions.StatementReport, ...] = ()
     loads: tuple[engine_load.HostLoad, ...] = attrs.field(default=(), kw_only=True)
+    slowdowns: tuple[engine_slowdowns.SlowdownReport, ...] = attrs.field(default=(), kw_only=True)
     wants_answer: bool = False
     invalid_count: int = 0
 
@@ -78,6 +84,10 @@
             horizons=beat.horizons,
             core_count=beat.core_count,
         )
+    for average in message.slowdowns:
+        wire.engine_slowdowns.engines.append(average.key)
+        wire.engine_slowdowns.slowdown_percents.append(round(100 * average.slowdown))
+        wire.engine_slowdowns.weights.append(round(WEIGHT_FACTOR * average.weight))
     for load in message.loads:
         wire.host_loads.add(
             address=load.address,
@@ -126,14 +136,17 @@
         if _is_valid_statement(item)
     )
     loads = tuple(_host_load(item) for item in wire.host_loads if _is_valid_load(item))
+    slowdowns = tuple(_slowdowns(wire.engine_slowdowns))
     entry_count = len(wire.hosts) + len(wire.target_statements) + len(wire.host_loads)
+    entry_count += len(wire.engine_slowdowns.engines)
     return GossipMessage(
         beats,
         reports,
         statements,
         wire.wants_answer,
-        entry_count - len(beats) - len(statements) - len(loads),
+        entry_count - len(beats) - len(statements) - len(loads) - len(slowdowns),
         loads=loads,
+        slowdowns=slowdowns,
     )
 
 
@@ -169,6 +182,26 @@
     return engine_load.HostLoad(item.address, item.incarnation, item.sequence, item.age_ms, work)
 
 
+def _slowdowns(
+    item: gateway_pb2.EngineSlowdowns,
+) -> Iterator[engine_slowdowns.SlowdownReport]:
+    """Yields the valid averages; lists of different lengths have none."""
+    count = len(item.engines)
+    if count > engine_slowdowns.MAX_REPORTED or not (
+        count == len(item.slowdown_percents) == len(item.weights)
+    ):
+        return
+    for key, percent, weight in zip(
+        item.engines, item.slowdown_percents, item.weights, strict=True
+    ):
+        slowdown = percent / 100
+        if (
+            engine_slowdowns.MIN_RATIO <= slowdown <= engine_slowdowns.MAX_RATIO
+            and weight <= WEIGHT_FACTOR * engine_slowdowns.MAX_WEIGHT
+        ):
+            yield engine_slowdowns.SlowdownReport(key, slowdown, weight / WEIGHT_FACTOR)
+
+
 def _is_valid_statement(item: gateway_pb2.TargetStatement) -> bool:
     return (
         len(item.target_id) <= MAX_TARGET_ID_LENGTH
