--- a/src/sesamehold/process/gateway/engine_choice.py
+++ b/src/sesamehold/process/gateway/engine_choice.py
@@ -43,10 +43,6 @@
 INITIAL_TOKENS = 4_000.0
 # Part of the weight of all observations that is left after the next one.
 RETAINED_WEIGHT = 0.99
-# Weight of the latest observation in the average slowdown of one engine, and its bounds.
-SLOWDOWN_EWMA_WEIGHT = 0.2
-MIN_SLOWDOWN = 0.25
-MAX_SLOWDOWN = 4.0
 
 
 @attrs.frozen
@@ -140,7 +136,8 @@
     Attributes:
         target: The engine.
         work: Open work of all hosts there.
-        slowdown: Its times as a multiple of those of all engines.
+        slowdown: Its times as a multiple of those that are expected.
+        is_slow: Whether it becomes a home only after the others.
         penalty: Factor on its cost for recent failures, at least 1.
         extra_ms: Cost of the way to it.
         is_backing_off: Whether it is to be left alone for a while.
@@ -149,6 +146,7 @@
     target: targets.Target
     work: engine_load.EngineWork
     slowdown: float
+    is_slow: bool
     penalty: float
     extra_ms: float
     is_backing_off: bool
@@ -227,9 +225,11 @@
     homes: list[str] = []
     tried: set[str] = set()
     if preferences.session_id is None:
-        tried.update(draw(by_name, preferences.request_id))
+        names = [name for name, engine in by_name.items() if not engine.is_slow]
+        tried.update(draw(names or by_name, preferences.request_id))
     else:
         ranked = rendezvous.ranked(by_name, preferences.session_id)
+        ranked.sort(key=lambda name: by_name[name].is_slow)
         reread_ms = pace.ms_per_token * preferences.cached_tokens
         homes = _homes(ranked, starts_ms, max(reread_ms, pace.base_ms))
         near = (name for name in ranked if by_name[name].target.zone == preferences.input_zone)
--- a/src/sesamehold/process/gateway/engine_slowdowns.py
+++ b/src/sesamehold/process/gateway/engine_slowdowns.py
@@ -19,14 +19,14 @@
 # Time after which an observation has half of its weight.
 HALF_LIFE_MS = 10_000
 # Observations that the assumption of a usual engine stands for.
-PRIOR_WEIGHT = 3.0
+PRIOR_WEIGHT = 6.0
 MIN_RATIO = 0.25
 MAX_RATIO = 4.0
 # An engine is slow above the first multiple of the median engine, and until it is below the second.
-SLOW_ABOVE = 1.4
-USUAL_BELOW = 1.2
+SLOW_ABOVE = 1.5
+USUAL_BELOW = 1.25
 # Engines in one datagram; of more, a part is sent each time.
-MAX_REPORTED = 64
+MAX_REPORTED = 48
 # Averages with less weight are dropped.
 MIN_WEIGHT = 0.001
 MAX_WEIGHT = 1_000.0
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -14,6 +14,7 @@
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import engine_choice
 from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import engine_slowdowns
 from sesamehold.process.gateway import hosts
 from sesamehold.process.gateway import metrics
 from sesamehold.process.gateway import retry_budget
@@ -39,6 +40,7 @@
         hosts: Gossip membership of the fleet.
         directory: Registered targets and zones out of service.
         engine_load: Open work at engines, of this host and as reported by others.
+        engine_slowdowns: How slow engines are, as measured by all hosts.
         ranking: Ranking of targets by observations and load.
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
@@ -64,6 +66,7 @@
     hosts: hosts.HostTable
     directory: targets.TargetDirectory
     engine_load: engine_load.EngineLoad
+    engine_slowdowns: engine_slowdowns.EngineSlowdowns
     ranking: target_ranking.TargetRanking
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
@@ -88,6 +91,7 @@
         seeds = [str(seed) for seed in config.seeds]
         started_ms = clock.wall_ms()
         load = engine_load.EngineLoad(address, started_ms)
+        slowdowns = engine_slowdowns.EngineSlowdowns()
         return cls(
             config=config,
             clock=clock,
@@ -104,7 +108,8 @@
             ),
             directory=targets.TargetDirectory(),
             engine_load=load,
-            ranking=target_ranking.TargetRanking(config.zone, load),
+            engine_slowdowns=slowdowns,
+            ranking=target_ranking.TargetRanking(config.zone, load, slowdowns),
             retry_budget=retry_budget.RetryBudget(config.bounds, clock.now_ms()),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
             restrictions=target_restrictions.TargetRestrictions(rng),
--- a/src/sesamehold/process/gateway/target_ranking.py
+++ b/src/sesamehold/process/gateway/target_ranking.py
@@ -12,6 +12,7 @@
 
 from sesamehold.process.gateway import engine_choice
 from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import engine_slowdowns
 from sesamehold.process.gateway import targets
 from sesamehold.version import rendezvous
 from sesamehold.version import routing
@@ -49,18 +50,12 @@
     failures: float = 0.0
     failures_at_ms: int = 0
     backoff_until_ms: int = 0
-    slowdown: float = 1.0
 
     def recent_failures(self, now_ms: int) -> float:
         """Returns the number of failures, decayed by their age."""
         age_ms = now_ms - self.failures_at_ms
         return float(self.failures * math.pow(0.5, age_ms / FAILURE_HALF_LIFE_MS))
 
-    def record_slowdown(self, ratio: float) -> None:
-        """Records a time to the first event, as a multiple of the expected one."""
-        bounded = min(engine_choice.MAX_SLOWDOWN, max(engine_choice.MIN_SLOWDOWN, ratio))
-        self.slowdown += engine_choice.SLOWDOWN_EWMA_WEIGHT * (bounded - self.slowdown)
-
 
 _CostFunction: TypeAlias = Callable[[targets.Target, _TargetStats, int], float]
 
@@ -97,6 +92,7 @@
 
     zone: str
     _load: engine_load.EngineLoad
+    _slowdowns: engine_slowdowns.EngineSlowdowns
     _stats: dict[str, _TargetStats] = attrs.field(factory=dict)
     _pace: engine_choice.ReadingPace = attrs.field(factory=engine_choice.ReadingPace)
 
@@ -142,11 +138,13 @@
         engines = []
         for target in candidates:
             stats = self._stats_for(target)
+            key = engine_load.engine_key(target)
             engines.append(
                 engine_choice.EngineState(
                     target,
                     self._load.total(target, host_count, now_ms),
-                    stats.slowdown,
+                    self._slowdowns.slowdown(key),
+                    self._slowdowns.is_slow(key),
                     1 + FAILURE_PENALTY * stats.recent_failures(now_ms),
                     self._crossing_ms(target, preferences),
                     is_backing_off=now_ms < stats.backoff_until_ms,
@@ -189,7 +187,8 @@
         stats.latency_ms += LATENCY_EWMA_WEIGHT * (latency_ms - stats.latency_ms)
         if request is not None and request.unread_tokens:
             self._pace.record(request.unread_tokens, latency_ms)
-            stats.record_slowdown(latency_ms / self._pace.expected_ms(request.unread_tokens))
+            expected_ms = self._pace.expected_ms(request.unread_tokens)
+            self._slowdowns.record(engine_load.engine_key(target), latency_ms / expected_ms)
             request.on_first_event()
 
     def record_failure(self, target: targets.Target, now_ms: int) -> None:
--- a/src/sesamehold/request/gateway/target_search.py
+++ b/src/sesamehold/request/gateway/target_search.py
@@ -95,9 +95,12 @@
         self.tried.add(target.incarnation)
         if self._head.prompt is None:
             return self._state.ranking.start(target)
-        home = self._state.ranking.preferred_engine(
-            self._state.directory.usable(self._service), self._head.prompt.session_id
-        )
+        if self._order is not None and self._order.homes:
+            home: str | None = self._order.homes[0]
+        else:
+            home = self._state.ranking.preferred_engine(
+                self._state.directory.usable(self._service), self._head.prompt.session_id
+            )
         unread_tokens = self._preferences(self._head.prompt).unread_tokens(
             is_home=target.target_id == home
         )
--- a/testing/process/gateway/test_engine_choice.py
+++ b/testing/process/gateway/test_engine_choice.py
@@ -12,6 +12,7 @@
 
 from sesamehold.process.gateway import engine_choice
 from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import engine_slowdowns
 from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import targets
 from sesamehold.version import rendezvous
@@ -52,6 +53,7 @@
 
     ranking: target_ranking.TargetRanking
     load: engine_load.EngineLoad
+    slowdowns: engine_slowdowns.EngineSlowdowns
 
     def reports(self, now_ms: int) -> list[engine_load.HostLoad]:
         return self.load.reports(now_ms)
@@ -98,7 +100,9 @@
     hosts = []
     for index in range(host_count):
         load = engine_load.EngineLoad(f"10.2.0.1:{index + 1}", 1)
-        hosts.append(Host(target_ranking.TargetRanking("z1", load), load))
+        slowdowns = engine_slowdowns.EngineSlowdowns()
+        ranking = target_ranking.TargetRanking("z1", load, slowdowns)
+        hosts.append(Host(ranking, load, slowdowns))
     waits: list[float] = []
     rereads = 0
     due: list[tuple[float, int, object]] = []
@@ -109,6 +113,7 @@
         while gossip_ms <= now_ms:
             if is_shared:
                 lossy_gossip.exchange(hosts, rng, gossip_ms)
+                _mix_slowdowns(hosts, rng, gossip_ms)
             gossip_ms += HEARTBEAT_MS
         while due and due[0][0] <= now_ms:
             heapq.heappop(due)[2]()  # type: ignore[operator]
@@ -144,6 +149,14 @@
     )
 
 
+def _mix_slowdowns(hosts: list[Host], rng: random.Random, now_ms: int) -> None:
+    for host in hosts:
+        host.slowdowns.update(len(hosts), now_ms)
+        for other in rng.sample(hosts, 3):
+            if rng.random() >= lossy_gossip.LOSS:
+                other.slowdowns.merge(host.slowdowns.reports())
+
+
 UNEVEN_SPEEDS = (0.7, 0.7, 1.7) * 15
 
 
@@ -178,7 +191,7 @@
     for name, count in tokens.items():
         target = targets.Target(name, 1, "svc", "10.1.0.1:80", "z1")
         work = engine_load.EngineWork(1, count)
-        state = engine_choice.EngineState(target, work, 1.0, 1.0, 0.0, is_backing_off=False)
+        state = engine_choice.EngineState(target, work, 1.0, False, 1.0, 0.0, is_backing_off=False)
         engines.append(attrs.evolve(state, **changes.get(name, {})))
     return engines
 
--- a/testing/request/gateway/test_stream_forwarding.py
+++ b/testing/request/gateway/test_stream_forwarding.py
@@ -13,6 +13,7 @@
 
 from sesamehold.process import clock as clocks
 from sesamehold.process.gateway import engine_load
+from sesamehold.process.gateway import engine_slowdowns
 from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import messages
@@ -104,7 +105,9 @@
 
 def _opened(answer: ScriptedAnswer) -> open_answer.OpenAnswer:
     target = targets.Target("i-1", 1, "svc", "127.0.0.1:1", "z1")
-    ranking = target_ranking.TargetRanking("z1", engine_load.EngineLoad("127.0.0.1:9", 1))
+    ranking = target_ranking.TargetRanking(
+        "z1", engine_load.EngineLoad("127.0.0.1:9", 1), engine_slowdowns.EngineSlowdowns()
+    )
     return open_answer.OpenAnswer(target, answer, 0, ranking.start(target))
 
 
