Measure together how slow each engine is

Cause: a host gets an answer of one engine every 20 s, so its average never told a slow engine from a usual one.

Ruled out: reports of each host's observations beside its open work (a datagram would hold 5 reports instead of 14), and rumours of single observations (1.1 KB/s a host before any redundancy).

Change: hosts mix their averages with those of others (engine_slowdowns.py), so all of them come to the common mean; observations halve in 10 s. Slow engines become homes of a prompt part after all others.

--- a/src/sesamehold/process/gateway/engine_choice.py
+++ b/src/sesamehold/process/gateway/engine_choice.py
@@ -80,7 +80,7 @@
     each, which is kept with the other observations of the engine.
 
     >>> pace = ReadingPace()
-    >>> for tokens in (1_000, 2_000) * 200:
+    >>> for tokens in (1_000, 2_000) * 500:
     ...     pace.record(tokens, 100 + tokens * 0.05)
     >>> round(pace.expected_ms(3_000))
     250
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -36,6 +36,7 @@
     engine_choices: prometheus_client.Counter = attrs.field(init=False)
     engine_requests: prometheus_client.Gauge = attrs.field(init=False)
     engine_unread_tokens: prometheus_client.Gauge = attrs.field(init=False)
+    engine_slowdown: prometheus_client.Gauge = attrs.field(init=False)
     load_reports: prometheus_client.Gauge = attrs.field(init=False)
     load_report_age: prometheus_client.Gauge = attrs.field(init=False)
     blamed_traits: prometheus_client.Gauge = attrs.field(init=False)
@@ -143,6 +144,12 @@
             ["target", "hosts"],
             registry=registry,
         )
+        self.engine_slowdown = prometheus_client.Gauge(
+            "sesamehold_engine_slowdown_ratio",
+            "Times of an engine to the first event as a multiple of the expected ones.",
+            ["target"],
+            registry=registry,
+        )
         self.load_reports = prometheus_client.Gauge(
             "sesamehold_load_reports",
             "Other hosts whose reports on their work at engines count.",
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -153,7 +153,11 @@
         self.metrics.load_report_age.set(sum(ages_ms) / max(1, len(ages_ms)) / 1_000)
         self.metrics.engine_requests.clear()
         self.metrics.engine_unread_tokens.clear()
+        self.metrics.engine_slowdown.clear()
         for target in self.directory:
+            slowdown = self.engine_slowdowns.slowdown(engine_load.engine_key(target))
+            if slowdown != 1.0:
+                self.metrics.engine_slowdown.labels(target.target_id).set(slowdown)
             for name, work in (
                 ("own", self.engine_load.own(target)),
                 ("others", self.engine_load.others(target, host_count, now_ms)),
--- a/testing/platform/test_odd_messages.py
+++ b/testing/platform/test_odd_messages.py
@@ -74,6 +74,12 @@
     return wire
 
 
+def _slowdowns(**changes: Any) -> gateway_pb2.Gossip:
+    fields: dict[str, Any] = {"engines": [7], "slowdown_percents": [150], "weights": [500]}
+    item = gateway_pb2.EngineSlowdowns(**{**fields, **changes})
+    return gateway_pb2.Gossip(engine_slowdowns=item)
+
+
 ODD_GOSSIP = [
     *(
         pytest.param(_beat(address=text), id=f"address-{name}")
@@ -103,6 +109,15 @@
     pytest.param(_statement(born_ms=2**64 - 1), id="born-64-bits"),
     pytest.param(_statement(target_id=""), id="target-empty"),
     pytest.param(_statement(target_id="x" * 900), id="target-long"),
+    pytest.param(_slowdowns(weights=[]), id="slowdown-weights-missing"),
+    pytest.param(_slowdowns(slowdown_percents=[1, 2]), id="slowdown-left-over"),
+    pytest.param(_slowdowns(slowdown_percents=[0]), id="slowdown-0"),
+    pytest.param(_slowdowns(slowdown_percents=[2**32 - 1]), id="slowdown-huge"),
+    pytest.param(_slowdowns(weights=[2**32 - 1]), id="slowdown-weight-huge"),
+    pytest.param(
+        _slowdowns(engines=range(200), slowdown_percents=[100] * 200, weights=[1] * 200),
+        id="slowdown-many-engines",
+    ),
     pytest.param(_load(address="word"), id="load-address"),
     pytest.param(_load(incarnation=2**64 - 1, sequence=2**64 - 1), id="load-64-bits"),
     pytest.param(_load(age_ms=2**32 - 1), id="load-age"),
@@ -133,6 +148,7 @@
     state.crashes.merge(message.crash_reports, now_ms)
     state.restrictions.merge(message.statements, now_ms)
     state.engine_load.merge(message.loads, now_ms)
+    state.engine_slowdowns.merge(message.slowdowns)
     engine = targets.Target("i-0", 1, "s", "a:1", "z")
     work = state.engine_load.others(engine, 2, now_ms)
     assert math.isfinite(work.requests + work.tokens)
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -140,6 +140,7 @@
         "process/gateway/directory_events.py",
         "process/gateway/engine_choice.py",
         "process/gateway/engine_load.py",
+        "process/gateway/engine_slowdowns.py",
         "process/gateway/hosts.py",
         "process/gateway/item_order.py",
         "process/gateway/retry_budget.py",
