--- a/testing/process/gateway/test_engine_choice.py
+++ b/testing/process/gateway/test_engine_choice.py
@@ -84,6 +84,7 @@
     *,
     parts: int,
     is_shared: bool,
+    interval_ms: int = HEARTBEAT_MS,
     duration_ms: int = 6_000,
     seed: int = 1,
 ) -> Placement:
@@ -109,7 +110,7 @@
         while gossip_ms <= now_ms:
             if is_shared:
                 lossy_gossip.exchange(hosts, rng, gossip_ms)
-            gossip_ms += HEARTBEAT_MS
+            gossip_ms += interval_ms
         while due and due[0][0] <= now_ms:
             heapq.heappop(due)[2]()  # type: ignore[operator]
         host = rng.choice(hosts)
@@ -148,22 +149,34 @@
 
 
 @pytest.mark.parametrize(
-    ("host_count", "speeds", "rate_per_s", "parts", "mean_ratio"),
+    ("host_count", "speeds", "rate_per_s", "parts", "interval_ms", "mean_ratio"),
     [
-        pytest.param(62, UNEVEN_SPEEDS, 140, 150, 1.1, id="calm"),
-        pytest.param(62, UNEVEN_SPEEDS, 350, 150, 0.8, id="uneven engines under load"),
-        pytest.param(62, UNEVEN_SPEEDS, 500, 150, 0.6, id="uneven engines overloaded"),
-        pytest.param(62, (1.0,) * 45, 350, 150, 1.1, id="even engines"),
-        pytest.param(62, UNEVEN_SPEEDS, 300, 8, 0.5, id="few popular parts"),
-        pytest.param(300, UNEVEN_SPEEDS, 350, 150, 0.8, id="300 hosts"),
+        pytest.param(62, UNEVEN_SPEEDS, 140, 150, HEARTBEAT_MS, 1.1, id="calm"),
+        pytest.param(
+            62, UNEVEN_SPEEDS, 350, 150, HEARTBEAT_MS, 0.8, id="uneven engines under load"
+        ),
+        pytest.param(
+            62, UNEVEN_SPEEDS, 500, 150, HEARTBEAT_MS, 0.6, id="uneven engines overloaded"
+        ),
+        pytest.param(62, (1.0,) * 45, 350, 150, HEARTBEAT_MS, 1.1, id="even engines"),
+        pytest.param(62, UNEVEN_SPEEDS, 300, 8, HEARTBEAT_MS, 0.5, id="few popular parts"),
+        pytest.param(300, UNEVEN_SPEEDS, 350, 150, HEARTBEAT_MS, 0.8, id="300 hosts"),
+        pytest.param(62, UNEVEN_SPEEDS, 350, 150, 4 * HEARTBEAT_MS, 0.8, id="late reports"),
     ],
 )
 def test_load_of_all_hosts_shortens_waits(
-    host_count: int, speeds: tuple[float, ...], rate_per_s: float, parts: int, mean_ratio: float
+    host_count: int,
+    speeds: tuple[float, ...],
+    rate_per_s: float,
+    parts: int,
+    interval_ms: int,
+    mean_ratio: float,
 ) -> None:
     """Guards against hosts that place as if each were alone, or that all take the same engine."""
     alone = place(host_count, speeds, rate_per_s, parts=parts, is_shared=False)
-    shared = place(host_count, speeds, rate_per_s, parts=parts, is_shared=True)
+    shared = place(
+        host_count, speeds, rate_per_s, parts=parts, is_shared=True, interval_ms=interval_ms
+    )
     print(alone, shared)
     assert shared.mean_ms <= mean_ratio * alone.mean_ms
     assert shared.late_share <= alone.late_share + 0.01
