Run no stage again for a request that has its results

What callers saw: with slow targets, requests waited for stages that ran a second time although their results were there, and other requests waited behind that work.

Cause: three events made a stage produce its freed inputs again although nothing needed them any more. An overdue call made the inputs of its pieces again even if another call had finished the job; a late call that found its inputs gone discarded them for a stage that was done; and when an overdue call answered after all, its job still waited for inputs that were being made for its repetition. All three need a call that takes more than 1.5 times its expected time.

Change: a piece or stage that is done needs no inputs. `allow_retry` and `discard_inputs` leave them alone, and a result frees and closes the stages whose dependents are all done.

Ruled out: leaving the repetition to the release of the request. It comes only when the engine has read its inputs, and the targets have taken the work by then.

Measured: the three regression tests fail on the code before.

--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -119,7 +119,7 @@
             stage.results[piece.piece_index] = StoredResult(piece.handle, target)
 
     def discard_unneeded(self) -> list[StoredResult]:
-        """Discards adopted results that no stage needs; returns them.
+        """Discards results that no stage needs any more; returns them.
 
         The results of a stage are unneeded if all stages that depend on it are done. Such a stage
         counts as done even if some of its results are missing, so it does not run again. Partial
@@ -248,8 +248,10 @@
 
     def allow_retry(self, stage_index: int, piece: int) -> None:
         """Makes a piece ready again while a call with it is still in flight."""
-        self._stages[stage_index].in_flight[piece] = 0
-        self._rerun_released_inputs(stage_index)
+        stage = self._stages[stage_index]
+        stage.in_flight[piece] = 0
+        if piece not in stage.results:
+            self._rerun_released_inputs(stage_index)
 
     def record_result(self, stage_index: int, piece: int, result: StoredResult) -> bool:
         """Stores a result; returns False if the piece already has one."""
@@ -277,8 +279,13 @@
         return stage.attempts[piece] < MAX_PIECE_ATTEMPTS
 
     def discard_inputs(self, stage_index: int) -> list[StoredResult]:
-        """Discards all inputs of a stage because a target has lost one of them; returns them."""
+        """Discards all inputs of a stage because a target has lost one of them; returns them.
+
+        A stage that is done needs none, so a late call without them costs nothing.
+        """
         dropped: list[StoredResult] = []
+        if self._stages[stage_index].done:
+            return dropped
         for dependency in self._stages[stage_index].dependencies:
             stage = self._stages[dependency]
             dropped += stage.results.values()
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -331,6 +331,7 @@
             target, handle, piece.job.result_size_bytes(piece.stage_index), now_ms
         )
         is_new = piece.job.record_result(piece.stage_index, piece.piece, stored)
+        self._schedule_free(piece.job.discard_unneeded())
         self._queue.mark_changed(piece.job)
         if not is_new or not self._queue.contains(piece.job):
             self._schedule_free([stored])
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -236,6 +236,47 @@
     assert harness.confirm_freed() == [f"{first.target.address}/r1-0-0"]
 
 
+def test_late_result_of_an_overdue_call_ends_its_job() -> None:
+    """Guards against a job that waits for inputs to be made again for a result that it has.
+
+    The inputs were freed when the call began, so its retry at another target needs them again.
+    """
+    harness = Harness(per_service=2)
+    harness.scheduler._last_submit_ms = 0
+    harness.submit("r1", stages=[("a", (), 1, 10), ("b", (0,), 1, 10)])
+    (first,) = harness.plan(0)
+    harness.complete(first, 210)
+    (slow,) = harness.plan(210)
+    harness.scheduler.on_inputs_read(slow, 260)
+    harness.confirm_freed()
+    (repeat,) = harness.plan(700)
+    assert repeat.target.service == "a"
+    (finished,) = harness.complete(slow, 800)
+    assert finished.failure is None
+    assert harness.complete(repeat, 910) == []
+    assert harness.confirm_freed() == [f"{repeat.target.address}/r1-0-0"]
+
+
+@pytest.mark.parametrize("reason", [None, "gone"], ids=["overdue", "input-gone"])
+def test_second_call_for_a_finished_job_runs_no_stage_again(reason: str | None) -> None:
+    """Guards against stages that run again for a request whose stages are done.
+
+    The inputs of its last stage are freed by then, and a second call with that stage is overdue, or
+    finds them gone.
+    """
+    harness = Harness(per_service=2)
+    harness.submit("r1", stages=[("a", (), 1, 10), ("b", (0,), 1, 10)])
+    (first,) = harness.plan(0)
+    harness.complete(first, 210)
+    (slow,) = harness.plan(210)
+    (repeat,) = harness.plan(700)
+    assert repeat.target.service == "b"
+    assert len(harness.complete(slow, 800)) == 1
+    if reason is not None:
+        assert harness.scheduler.on_results(repeat, [ports.PieceResult(None, reason)], 900) == []
+    assert harness.plan(2_000) == []
+
+
 @pytest.mark.parametrize(
     ("reason", "attempts", "failure"),
     [
