Decode the load that targets state in four figures

What was seen: targets that state a fourth figure in `Server-Load`, how long work takes at this moment, had each sample dropped silently. As a head counted as an answer's by its sample, a second answer of a stage target within a body was no longer recognized by that header.

Cause: the decoder took exactly three figures, and `is_answer_head` asked whether the sample could be decoded.

Change: three or four figures; the fourth is the slowdown of `LoadSample`. Anything else, and a header that comes twice, is no sample, and its start is kept for the log. The header marks a head whatever its figures. The counts are plain digits now: signs, underscores and other scripts, which Python's `int` takes, are odd values.

Tests: the two cases of the table of answer heads that held the load moved into a table of their own, with the same expectations and more.

--- a/src/sesamehold/connection/gateway/target_pool.py
+++ b/src/sesamehold/connection/gateway/target_pool.py
@@ -253,7 +253,7 @@
         head = self._codec.decode_answer_head(status, headers)
         is_marked = head.request_id is not None or head.sealed
         # Refusals and answers to stage calls may name no request.
-        return is_marked or head.not_run or head.load is not None
+        return is_marked or head.not_run or head.states_load
 
     def on_mixed_answer(self, target: targets.Target, head: messages.AnswerHead) -> None:
         """Reports an answer whose body holds another answer."""
--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -73,6 +73,7 @@
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 _SECONDS = re.compile(rb"[0-9]{1,9}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+_COUNT = re.compile(rb"[0-9]{1,6}")
 _NO_STATEMENT = messages.TargetStatement()
 # Headers in which a worker says something about itself, with their names in the log.
 _STATEMENTS = {
@@ -84,6 +85,12 @@
 # A longer wait than a day is taken for a mistake.
 _MAX_WAIT_S = 86_400.0
 _MAX_REASON_LENGTH = 200
+# Value of a worker's stated slowdown on a machine that is as fast as usual, and the values that are
+# not taken for a mistake.
+_USUAL_SLOWDOWN = 100.0
+_MIN_SLOWDOWN = 1.0
+_MAX_SLOWDOWN = 10_000.0
+_MAX_LOGGED_LOAD_LENGTH = 40
 # The pieces of a request are held and planned one by one on the loop that serves all requests.
 MAX_PIECES_PER_STAGE = 4_096
 
@@ -131,6 +138,7 @@
         values = {name.lower(): value for name, value in headers}
         request_id = values.get(names.REQUEST_ID)
         length = values.get(b"content-length", b"")
+        load, malformed_load = _decode_load(headers)
         return messages.AnswerHead(
             status=status,
             headers=_forwardable_headers(headers, values, frozenset()),
@@ -139,7 +147,8 @@
             encoded=_is_encoded(headers, values),
             not_run=names.NOT_RUN in values,
             wrong_target=status == _STATUS_WRONG_TARGET,
-            load=_parse_load(values.get(names.SERVER_LOAD)),
+            load=load,
+            malformed_load=malformed_load,
             idle_ms=_parse_idle_ms(values.get(b"keep-alive")),
             content_length=int(length) if _LENGTH.fullmatch(length) else None,
             statement=_parse_statement(status, headers),
@@ -241,15 +250,29 @@
     )
 
 
-def _parse_load(header: bytes | None) -> messages.LoadSample | None:
-    if header is None:
+def _decode_load(headers: messages.HeaderPairs) -> tuple[messages.LoadSample | None, str | None]:
+    """Returns the load that a worker states, and the start of a statement that is malformed."""
+    stated = [value for name, value in headers if name.lower() == names.SERVER_LOAD]
+    if not stated:
+        return None, None
+    sample = _parse_load(stated[0]) if len(stated) == 1 else None
+    if sample is not None:
+        return sample, None
+    return None, b"; ".join(stated)[:_MAX_LOGGED_LOAD_LENGTH].decode("latin-1")
+
+
+def _parse_load(value: bytes) -> messages.LoadSample | None:
+    """Returns the load for three counts and, if stated, a slowdown; None for anything else."""
+    figures = [part.strip() for part in value.split(b",")]
+    if len(figures) not in (3, 4) or not all(_COUNT.fullmatch(part) for part in figures[:3]):
         return None
-    try:
-        running, waiting, slots = (int(part) for part in header.split(b","))
-    except ValueError:
-        # Load is advisory; a malformed value must not fail the answer that carries it.
+    running, waiting, slots = (int(part) for part in figures[:3])
+    if len(figures) == 3:
+        return messages.LoadSample(running, waiting, slots)
+    slowdown = _parse_decimal(figures[3])
+    if slowdown is None or not _MIN_SLOWDOWN <= slowdown <= _MAX_SLOWDOWN:
         return None
-    return messages.LoadSample(running, waiting, slots)
+    return messages.LoadSample(running, waiting, slots, slowdown / _USUAL_SLOWDOWN)
 
 
 def _parse_statement(status: int, headers: messages.HeaderPairs) -> messages.TargetStatement:
--- a/src/sesamehold/request/gateway/messages.py
+++ b/src/sesamehold/request/gateway/messages.py
@@ -159,7 +159,8 @@
         encoded: Whether the body was re-encoded in transit and thus differs from the target's.
         not_run: Whether the target states that it did not run the request.
         wrong_target: Whether a target other than the expected one answered.
-        load: Load reported by the target, None if not stated.
+        load: Load reported by the target, None if not stated or malformed.
+        malformed_load: Start of a reported load that cannot be decoded, for the log.
         idle_ms: Keep-alive timeout of the connection, None if not stated.
         content_length: Length of the body, None if it is not stated.
         statement: What the target says about itself.
@@ -173,10 +174,16 @@
     not_run: bool = False
     wrong_target: bool = False
     load: LoadSample | None = None
+    malformed_load: str | None = None
     idle_ms: int | None = None
     content_length: int | None = None
     statement: TargetStatement = TargetStatement()
 
+    @property
+    def states_load(self) -> bool:
+        """Returns whether the target reported its load, in whatever form."""
+        return self.load is not None or self.malformed_load is not None
+
     @property
     def succeeded(self) -> bool:
         """Returns whether the status is in the 2xx range."""
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -147,13 +147,6 @@
         pytest.param(503, ((b"Not-Run", b"1"),), {"not_run": True}, id="not-run"),
         pytest.param(421, (), {"wrong_target": True}, id="wrong-target"),
         pytest.param(200, ((b"Content-Encoding", b"gzip"),), {"encoded": True}, id="encoded"),
-        pytest.param(
-            200,
-            ((b"Server-Load", b"3,1,8"),),
-            {"load": messages.LoadSample(3, 1, 8)},
-            id="load",
-        ),
-        pytest.param(200, ((b"Server-Load", b"many"),), {}, id="bad-load-is-left-out"),
         pytest.param(200, ((b"Keep-Alive", b"timeout=5, max=2"),), {"idle_ms": 5000}, id="idle"),
         pytest.param(200, ((b"Content-Length", b"7"),), {"content_length": 7}, id="length"),
         pytest.param(200, ((b"Request-Id", b"9c"),), {"request_id": "9c"}, id="id"),
@@ -166,6 +159,39 @@
     assert head == expected
 
 
+@pytest.mark.parametrize(
+    ("values", "load"),
+    [
+        pytest.param(["3,1,8"], messages.LoadSample(3, 1, 8), id="three-figures"),
+        pytest.param(["3,1,8,250"], messages.LoadSample(3, 1, 8, 2.5), id="four-figures"),
+        pytest.param([" 3, 1 ,8,\t100 "], messages.LoadSample(3, 1, 8, 1.0), id="whitespace"),
+        pytest.param(["9,0,8,62.5"], messages.LoadSample(9, 0, 8, 0.625), id="fraction"),
+        *(
+            pytest.param([text], None, id=text[:12] or "empty")
+            for text in (
+                *("", "many", "3", "3,1", "3,1,", ",1,8", "3,1,8,", "3,1,8,100,1", "3,1,8,100,"),
+                *("-3,1,8", "3,-1,8,100", "+3,1,8", "3.5,1,8", "3_0,1,8", "1e3,1,8", "9" * 400),
+                *("1234567,1,8", "3,1,8,0", "3,1,8,-100", "3,1,8,nan", "3,1,8,inf", "3,1,8,1e2"),
+                *("3,1,8,10001", "3,1,8," + "9" * 5_000, "3 1 8 100", "3;1;8;100", "3,1,8,\xb2"),
+            )
+        ),
+        pytest.param(["3,1,8,100", "4,1,8,100"], None, id="twice"),
+        pytest.param(["3,1,8,100", "3,1,8,100"], None, id="twice-the-same"),
+    ],
+)
+def test_load_of_a_worker(values: list[str], load: messages.LoadSample | None) -> None:
+    """Guards against dropped samples, and against odd ones that count or go unnoticed.
+
+    Whether a head is that of an answer must not depend on the figures in it.
+    """
+    pairs = tuple((b"Server-Load", value.encode("latin-1")) for value in values)
+    head = CODEC.decode_answer_head(200, pairs)
+    assert head.load == load
+    assert head.states_load
+    assert (head.malformed_load is None) == (load is not None)
+    assert len(head.malformed_load or "") <= 40
+
+
 @pytest.mark.parametrize(
     ("refusal", "status"),
     [
--- a/testing/platform/test_second_answers.py
+++ b/testing/platform/test_second_answers.py
@@ -301,6 +301,8 @@
         pytest.param(b"503 X\r\nNot-Run: 1\r\nContent-Length: 0", id="not-run"),
         pytest.param(b"400 X\r\nNot-Run: 1\r\nContent-Length: 2", id="without-an-id"),
         pytest.param(b"200 X\r\nServer-Load: 1,0,6\r\nContent-Length: 2", id="of-a-stage"),
+        pytest.param(b"200 X\r\nServer-Load: 1,0,6,240\r\nContent-Length: 2", id="four-figures"),
+        pytest.param(b"200 X\r\nServer-Load: 1,0\r\nContent-Length: 2", id="odd-figures"),
     ],
 )
 @pytest.mark.parametrize("framing", ["length", "none"])
