Use the load that targets state for stages and requests

What callers saw: targets that share their machines state in each answer how long work takes there at this moment, and nothing used it. Batches waited at targets at 300 % of their time while faster ones were idle.

Cause: the speed of a target followed from the time of past calls alone, which tells of a slow machine after a slow call, and of its end some calls later.

Change: `target_load.TargetLoad` keeps the statements of each start of a target. Its slowdown is a factor of the expected time of a stage call, so that a call at a slow target is not repeated too early, and of the order of idle targets; a slow target in the zone of a step is passed over if that costs over 120 ms. The ranking of plain targets takes latency at the usual speed times the slowdown plus the wait for a slot. Heads of all answers feed the model; odd statements are logged as `target.load-malformed` and counted. No calls of its own, no messages.

--- a/bench/sesamehold_bench/process/stage_load.py
+++ b/bench/sesamehold_bench/process/stage_load.py
@@ -18,7 +18,9 @@
 from sesamehold.process.gateway import stage_job
 from sesamehold.process.gateway import stage_scheduler
 from sesamehold.process.gateway import stage_workers
+from sesamehold.process.gateway import target_load
 from sesamehold.process.gateway import targets
+from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
 
@@ -93,6 +95,44 @@
     name: str = ""
 
 
+@attrs.frozen
+class SharedMachines:
+    """Slowdown of targets that share their machines with others.
+
+    Attributes:
+        slow_share: Part of the targets that are slow at any time.
+        slowdown: Time of work at a slow target as a multiple of the usual one.
+        span_ms: Time after which each target is slow or not anew.
+        noise: Largest relative error of a stated slowdown.
+        is_stated: Whether targets state their slowdown in each answer.
+        lost_share: Part of the answers without the statement.
+    """
+
+    slow_share: float
+    slowdown: float
+    span_ms: float
+    noise: float = 0.1
+    is_stated: bool = True
+    lost_share: float = 0.0
+
+    def slowdown_at(self, target_id: str, now_ms: float) -> float:
+        """Returns the slowdown of a target at a time."""
+        draw = random.Random(f"{target_id}/{now_ms // self.span_ms}").random()
+        return self.slowdown if draw < self.slow_share else 1.0
+
+    def end_ms(self, target_id: str, start_ms: float, work_ms: float) -> float:
+        """Returns when work that takes `work_ms` at the usual speed ends."""
+        at_ms = start_ms
+        while True:
+            slowdown = self.slowdown_at(target_id, at_ms)
+            span_end_ms = (at_ms // self.span_ms + 1) * self.span_ms
+            done_ms = (span_end_ms - at_ms) / slowdown
+            if done_ms >= work_ms:
+                return at_ms + work_ms * slowdown
+            work_ms -= done_ms
+            at_ms = span_end_ms
+
+
 @attrs.frozen
 class StageLoad:
     """A deployment and the load on it.
@@ -103,6 +143,7 @@
         shapes: Kinds of requests.
         bursts: Spans with more requests.
         mean_group_size: Mean number of requests that arrive together.
+        machines: Slowdown of the targets, None if all have their usual speed.
     """
 
     pools: dict[str, routing.StagePool]
@@ -110,6 +151,7 @@
     shapes: tuple[RequestShape, ...]
     bursts: tuple[Burst, ...] = ()
     mean_group_size: float = 1.0
+    machines: SharedMachines | None = None
 
     def rate_per_s(self, shape: RequestShape, now_ms: float) -> float:
         """Returns the arrival rate of a kind of request at a time."""
@@ -207,6 +249,7 @@
     rng: random.Random
     duration_ms: float
     scheduler: stage_scheduler.StageScheduler
+    target_load: target_load.TargetLoad
     zones: dict[str, str]
     report: LoadReport = attrs.field(factory=LoadReport)
     events: list[tuple[float, int, str, _Event]] = attrs.field(factory=list)
@@ -230,10 +273,10 @@
                 self._plan(now_ms)
             elif isinstance(subject, str):
                 self.scheduler.release(subject)
-                self._free()
+                self._free(now_ms)
             elif subject is not None and kind == "read":
                 self.scheduler.on_inputs_read(subject, int(now_ms))
-                self._free()
+                self._free(now_ms)
             elif subject is not None:
                 self._end_call(subject, now_ms)
 
@@ -292,7 +335,7 @@
                 self._refuse(caller, item.failure, now_ms)
         for call in calls:
             self._start_call(call, now_ms)
-        self._free()
+        self._free(now_ms)
         if len(self.scheduler):
             self._schedule_plan(now_ms + PLAN_INTERVAL_MS)
 
@@ -318,6 +361,9 @@
             results.append(ports.PieceResult(handle))
             work_ms += pool.piece_ms * shape.work_factor
         self.results_by_call[id(call)] = results
+        machines = self.load.machines
+        if machines is not None:
+            work_ms = machines.end_ms(call.target.target_id, now_ms, work_ms) - now_ms
         self.report.call_count += 1
         self.report.busy_ms += work_ms
         for piece in call.pieces:
@@ -325,7 +371,16 @@
         self.schedule(now_ms + INPUT_READ_MS, "read", call)
         self.schedule(now_ms + work_ms, "end", call)
 
+    def _observe(self, target: targets.Target, now_ms: float) -> None:
+        machines = self.load.machines
+        if machines is None or not machines.is_stated or self.rng.random() < machines.lost_share:
+            return
+        stated = machines.slowdown_at(target.target_id, now_ms)
+        stated *= self.rng.uniform(1 - machines.noise, 1 + machines.noise)
+        self.target_load.observe(target, messages.LoadSample(0, 0, 1, stated), int(now_ms))
+
     def _end_call(self, call: stage_workers.Call, now_ms: float) -> None:
+        self._observe(call.target, now_ms)
         results = self.results_by_call.pop(id(call))
         memory = self.memory[call.target.target_id]
         retention_ms = self.load.pools[call.target.service].retention_ms
@@ -339,7 +394,7 @@
                 self._refuse(caller, item.failure, now_ms)
             else:
                 self._answer(caller, item.job.results(), now_ms)
-        self._free()
+        self._free(now_ms)
         self._schedule_plan(now_ms)
 
     def _answer(self, caller: _Caller, results: ports.StageResults, now_ms: float) -> None:
@@ -358,8 +413,9 @@
             kind.credit += shape.late_worth
         self.schedule(now_ms + RESULT_READ_MS, "release", caller.request_id)
 
-    def _free(self) -> None:
+    def _free(self, now_ms: float) -> None:
         for target, handles in self.scheduler.take_freed():
+            self._observe(target, now_ms)
             for handle in handles:
                 self.memory[target.target_id].results.pop(handle, None)
             self.scheduler.on_freed(target, handles)
@@ -394,12 +450,17 @@
         for service, zones in load.zones.items()
     }
     by_id = {target.target_id: target for pool in pools.values() for target in pool}
+    stated_load = target_load.TargetLoad()
     scheduler = stage_scheduler.StageScheduler(
-        lambda service: pools.get(service, []), load.pools.get, by_id.get, lambda _: True
+        lambda service: pools.get(service, []),
+        load.pools.get,
+        by_id.get,
+        lambda _: True,
+        stated_load,
     )
     rng = random.Random(seed)
     zone_by_id = {target.target_id: target.zone for target in by_id.values()}
-    simulation = _Simulation(load, rng, duration_s * 1_000, scheduler, zone_by_id)
+    simulation = _Simulation(load, rng, duration_s * 1_000, scheduler, stated_load, zone_by_id)
     zones = sorted({zone for known in load.zones.values() for zone in known})
     for shape in load.shapes:
         kind = simulation.report.kinds[shape.name] = KindReport()
--- a/src/sesamehold/process/gateway/directory_watcher.py
+++ b/src/sesamehold/process/gateway/directory_watcher.py
@@ -381,5 +381,6 @@
         self._cancel_removal(target_id)
         self._state.directory.remove(target_id)
         self._state.ranking.forget(target_id)
+        self._state.target_load.forget(target_id)
         self._state.cold_rate_limit.forget(target_id)
         self._state.log.write("target.withdrawn", target=target_id, revision=revision)
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -8,6 +8,7 @@
 # Histogram buckets, from a request to a nearby target without stages up to the longest deadline.
 _BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 6.0, 10.0, 20.0)
 _PIECE_BUCKETS = (1, 2, 4, 8, 16, 32, 64, 128)
+_SLOWDOWN_BUCKETS = (0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 
 
 def _new_registry() -> prometheus_client.CollectorRegistry:
@@ -24,6 +25,8 @@
     attempts: prometheus_client.Counter = attrs.field(init=False)
     held_back: prometheus_client.Counter = attrs.field(init=False)
     extra_bytes: prometheus_client.Counter = attrs.field(init=False)
+    malformed_loads: prometheus_client.Counter = attrs.field(init=False)
+    stated_slowdown: prometheus_client.Histogram = attrs.field(init=False)
     attempt_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
@@ -71,6 +74,19 @@
             ["service", "where"],
             registry=registry,
         )
+        self.malformed_loads = counter(
+            "sesamehold_malformed_loads_total",
+            "Answers of targets that state their load in a form that cannot be decoded.",
+            ["service"],
+            registry=registry,
+        )
+        self.stated_slowdown = histogram(
+            "sesamehold_stated_slowdown",
+            "Present duration of work that targets state, as a multiple of the usual one.",
+            ["service"],
+            buckets=_SLOWDOWN_BUCKETS,
+            registry=registry,
+        )
         self.attempt_seconds = histogram(
             "sesamehold_attempt_answer_seconds",
             "Time from the send to the answer or the first event.",
--- a/src/sesamehold/process/gateway/stage_batching.py
+++ b/src/sesamehold/process/gateway/stage_batching.py
@@ -17,7 +17,8 @@
 from sesamehold.process.gateway import targets
 from sesamehold.version import routing
 
-# Longest wait for a busy target in the zone of the inputs while a target in another zone is idle.
+# Longest wait for a busy target in the zone of the inputs while a target in another zone is idle,
+# and longest additional time of a call for which it stays in that zone.
 MAX_ZONE_WAIT_MS = 120
 # A step whose results or inputs would cross zones at a target yields to steps that have up to this
 # much more slack.
@@ -32,13 +33,20 @@
 
     Attributes:
         target: The target.
-        slowdown: Ratio of its actual to its expected call time.
+        slowdown: Ratio of actual to expected time of its past calls.
         available_bytes: Free memory for results.
+        stated_slowdown: Slowdown that it states now, 1.0 if nothing is known.
     """
 
     target: targets.Target
     slowdown: float
     available_bytes: int
+    stated_slowdown: float = 1.0
+
+    @property
+    def time_factor(self) -> float:
+        """Returns the expected time of a call relative to other idle targets."""
+        return self.slowdown * self.stated_slowdown
 
 
 @attrs.frozen(eq=False)
@@ -79,12 +87,18 @@
     def _preferred_target(self, item: stage_queue.QueuedStep) -> IdleTarget | None:
         zone = item.step.zone
         for idle in self.idle:
-            if idle.target.zone == zone or not zone:
+            is_fast_enough = self._stated_delay_ms(idle) <= MAX_ZONE_WAIT_MS
+            if zone in ("", idle.target.zone) and is_fast_enough:
                 return idle
         if item.step.input_zone and zone in self.soon_idle_zones:
             return None
         return self.idle[0] if self.idle else None
 
+    def _stated_delay_ms(self, idle: IdleTarget) -> float:
+        """Returns how much longer a full call takes than at the idle target that is used first."""
+        slowdown = idle.stated_slowdown - self.idle[0].stated_slowdown
+        return slowdown * self.pool.call_time_ms(self.pool.batch_size)
+
     def _sort_key(
         self, item: stage_queue.QueuedStep, target: targets.Target
     ) -> tuple[float, float, float]:
@@ -168,7 +182,9 @@
         pool: Capacity and timing of each target.
         now_ms: Monotonic time.
     """
-    planner = _Planner(pool, sorted(idle, key=lambda item: item.slowdown), soon_idle_zones, now_ms)
+    planner = _Planner(
+        pool, sorted(idle, key=lambda item: item.time_factor), soon_idle_zones, now_ms
+    )
     batches = []
     while planner.idle:
         batch = planner.next_batch(queue)
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -59,6 +59,7 @@
             self._pool_for,
             self._state.directory.find,
             self._state.may_call_stage,
+            self._state.target_load,
         )
 
     def __len__(self) -> int:
@@ -309,6 +310,7 @@
             requests=sorted({piece.job.request.request_id for piece in call.pieces}),
             duration_ms=now_ms - call.started_ms,
             expected_ms=round(call.expected_ms),
+            stated_slowdown=round(call.stated_slowdown, 2),
             waiting=call.waiting_count,
             held_bytes=call.held_bytes,
             overdue=call.overdue or None,
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -16,6 +16,7 @@
 from sesamehold.process.gateway import stage_job
 from sesamehold.process.gateway import stage_queue
 from sesamehold.process.gateway import stage_workers
+from sesamehold.process.gateway import target_load
 from sesamehold.process.gateway import targets
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
@@ -64,12 +65,14 @@
         pool_for: Returns the stage pool of a service, None if the service does not run stages.
         find_target: Returns a target by its identity, None if it is not known.
         may_call: Returns whether a target's own restrictions allow a call to it now.
+        load: Load that targets state; empty if they state none.
     """
 
     usable_targets: Callable[[str], list[targets.Target]]
     pool_for: Callable[[str], routing.StagePool | None]
     find_target: Callable[[str], targets.Target | None]
     may_call: Callable[[targets.Target], bool]
+    load: target_load.TargetLoad = attrs.field(factory=target_load.TargetLoad)
     _queue: stage_queue.StageQueue = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
@@ -237,6 +240,7 @@
                 target,
                 worker.slowdown,
                 pool.result_capacity_bytes - worker.held_bytes(now_ms),
+                self.load.slowdown(target, now_ms),
             )
             for target, worker in workers
             if len(worker.calls) < pool.slots
@@ -274,10 +278,16 @@
             piece.job.record_start(piece.stage_index, piece.piece)
             self._queue.mark_changed(piece.job)
         worker = self._workers.get(target)
-        expected_ms = pool.call_time_ms(len(batch)) * max(1.0, worker.slowdown)
-        held_bytes = worker.held_bytes(now_ms)
+        stated = self.load.slowdown(target, now_ms)
         call = stage_workers.Call(
-            target, tuple(batch), tuple(piece_calls), now_ms, expected_ms, waiting_count, held_bytes
+            target,
+            tuple(batch),
+            tuple(piece_calls),
+            now_ms,
+            pool.call_time_ms(len(batch)) * worker.present_slowdown(stated),
+            stated,
+            waiting_count,
+            worker.held_bytes(now_ms),
         )
         worker.calls.append(call)
         return call
--- a/src/sesamehold/process/gateway/stage_workers.py
+++ b/src/sesamehold/process/gateway/stage_workers.py
@@ -42,6 +42,7 @@
         piece_calls: The pieces in the form in which they are sent, in the same order.
         started_ms: Monotonic start time.
         expected_ms: Expected duration.
+        stated_slowdown: Slowdown that the target stated when the call was formed, for the log.
         waiting_count: Queue length of the service when the call was formed, for the log.
         held_bytes: Size of the results held by the target at the start, for the log.
         overdue: Whether the pieces have been released for a hedged call to another target.
@@ -52,6 +53,7 @@
     piece_calls: tuple[ports.PieceCall, ...]
     started_ms: int
     expected_ms: float
+    stated_slowdown: float = 1.0
     waiting_count: int = 0
     held_bytes: int = 0
     overdue: bool = False
@@ -117,6 +119,18 @@
             actual_ms / max(1.0, call.expected_ms) - self.slowdown
         )
 
+    def present_slowdown(self, stated: float) -> float:
+        """Returns the expected ratio of actual to usual time of a call that starts now.
+
+        The average over past calls is of what the stated slowdown does not explain, as their
+        expected times contain it. A target that states to be faster than usual is not held to it:
+        its calls would be overdue or time out too early.
+
+        Args:
+            stated: Slowdown that the target states, 1.0 if nothing is known.
+        """
+        return max(1.0, self.slowdown) * max(1.0, stated)
+
     def is_free_within(self, wait_ms: int, now_ms: int) -> bool:
         """Returns whether the oldest call is expected to end within `wait_ms`."""
         if self.backoff_until_ms > now_ms or not self.calls:
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -17,6 +17,7 @@
 from sesamehold.process.gateway import retry_budget
 from sesamehold.process.gateway import route_latency
 from sesamehold.process.gateway import settings
+from sesamehold.process.gateway import target_load
 from sesamehold.process.gateway import target_ranking
 from sesamehold.process.gateway import target_restrictions
 from sesamehold.process.gateway import targets
@@ -36,6 +37,7 @@
         metrics: Counters and histograms.
         hosts: Gossip membership of the fleet.
         directory: Registered targets and zones out of service.
+        target_load: Load that targets stated in their answers.
         ranking: Ranking of targets by this host's observations.
         retry_budget: Retry budget of this host.
         cold_rate_limit: Rate limit for cold targets.
@@ -60,6 +62,7 @@
     metrics: metrics.GatewayMetrics
     hosts: hosts.HostTable
     directory: targets.TargetDirectory
+    target_load: target_load.TargetLoad
     ranking: target_ranking.TargetRanking
     retry_budget: retry_budget.RetryBudget
     cold_rate_limit: cold_rate_limit.ColdRateLimit
@@ -82,6 +85,7 @@
         """Returns the initial state of a process."""
         address = str(config.peer_address)
         seeds = [str(seed) for seed in config.seeds]
+        load = target_load.TargetLoad()
         return cls(
             config=config,
             clock=clock,
@@ -97,7 +101,8 @@
                 core_count=config.core_count,
             ),
             directory=targets.TargetDirectory(),
-            ranking=target_ranking.TargetRanking(config.zone),
+            target_load=load,
+            ranking=target_ranking.TargetRanking(config.zone, load),
             retry_budget=retry_budget.RetryBudget(config.bounds, clock.now_ms()),
             cold_rate_limit=cold_rate_limit.ColdRateLimit(address),
             restrictions=target_restrictions.TargetRestrictions(rng),
@@ -161,6 +166,7 @@
     def on_answer(self, target: targets.Target, head: messages.AnswerHead, sent_ms: int) -> None:
         """Records what a target says about itself in the head of an answer."""
         now_ms = self.clock.now_ms()
+        self._record_load(target, head, now_ms)
         if head.statement.malformed:
             self.log.write(
                 "target.statement-malformed",
@@ -177,6 +183,20 @@
                 wait_ms=head.statement.wait_ms,
             )
 
+    def _record_load(self, target: targets.Target, head: messages.AnswerHead, now_ms: int) -> None:
+        if head.malformed_load is not None:
+            self.metrics.malformed_loads.labels(target.service).inc()
+            self.log.write(
+                "target.load-malformed", target=target.incarnation, value=head.malformed_load
+            )
+        # A late answer of a target that was removed would leave an entry behind for ever.
+        is_known = self.directory.find(target.target_id) is not None
+        if head.load is None or head.wrong_target or not is_known:
+            return
+        self.target_load.observe(target, head.load, now_ms)
+        if head.load.slowdown is not None:
+            self.metrics.stated_slowdown.labels(target.service).observe(head.load.slowdown)
+
     def on_extra_bytes(
         self, target: targets.Target, where: messages.ExtraBytes, request_id: str | None = None
     ) -> None:
--- a/src/sesamehold/process/gateway/target_ranking.py
+++ b/src/sesamehold/process/gateway/target_ranking.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from sesamehold.process.gateway import target_load
 from sesamehold.process.gateway import targets
 from sesamehold.version import rendezvous
 
@@ -43,6 +44,8 @@
     incarnation: str
     running: int = 0
     latency_ms: float = INITIAL_LATENCY_MS
+    # The same at the usual speed of the target, without the slowdown that it stated.
+    usual_latency_ms: float = INITIAL_LATENCY_MS
     failures: float = 0.0
     failures_at_ms: int = 0
     backoff_until_ms: int = 0
@@ -79,9 +82,11 @@
 
     Attributes:
         zone: Availability zone of this host.
+        load: Load that targets state; empty if they state none.
     """
 
     zone: str
+    load: target_load.TargetLoad = attrs.field(factory=target_load.TargetLoad)
     _stats: dict[str, _TargetStats] = attrs.field(factory=dict)
 
     def rank_plain(self, candidates: Iterable[targets.Target], now_ms: int) -> list[targets.Target]:
@@ -126,10 +131,12 @@
         stats = self._stats_for(target)
         stats.running = max(0, stats.running - 1)
 
-    def record_latency(self, target: targets.Target, latency_ms: float) -> None:
+    def record_latency(self, target: targets.Target, latency_ms: float, now_ms: int) -> None:
         """Records the time from a send to the answer or to the first event."""
         stats = self._stats_for(target)
         stats.latency_ms += LATENCY_EWMA_WEIGHT * (latency_ms - stats.latency_ms)
+        usual_ms = latency_ms / self.load.slowdown(target, now_ms)
+        stats.usual_latency_ms += LATENCY_EWMA_WEIGHT * (usual_ms - stats.usual_latency_ms)
 
     def record_failure(self, target: targets.Target, now_ms: int) -> None:
         """Records a failed attempt."""
@@ -153,7 +160,8 @@
 
     def _plain_cost(self, target: targets.Target, stats: _TargetStats, now_ms: int) -> float:
         load = (stats.running + 1) / max(1, target.slots)
-        cost_ms = stats.latency_ms * (1 + load)
+        cost_ms = stats.usual_latency_ms * (1 + load) * self.load.slowdown(target, now_ms)
+        cost_ms += self.load.expected_start_ms(target, stats.usual_latency_ms, now_ms)
         if target.zone != self.zone:
             cost_ms += CROSS_ZONE_COST_MS
         return cost_ms * (1 + FAILURE_PENALTY * stats.recent_failures(now_ms))
--- a/src/sesamehold/request/gateway/request_record.py
+++ b/src/sesamehold/request/gateway/request_record.py
@@ -54,8 +54,9 @@
     def on_success(self, opened: open_answer.OpenAnswer) -> None:
         """Records that a target has sent its whole answer, or the first event of a stream."""
         state = self._state
-        self._answer_ms = state.clock.now_ms() - opened.started_ms
-        state.ranking.record_latency(opened.target, self._answer_ms)
+        now_ms = state.clock.now_ms()
+        self._answer_ms = now_ms - opened.started_ms
+        state.ranking.record_latency(opened.target, self._answer_ms, now_ms)
         if self.route is not None:
             state.route_latency.record(self.route.name, self._answer_ms)
         seconds = self._answer_ms / _MS_PER_S
--- a/testing/bench/test_stage_load.py
+++ b/testing/bench/test_stage_load.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 from sesamehold_bench.process import stage_load
 
@@ -132,6 +133,68 @@
         assert shares[name] >= shares["dialogue"] - MAX_LEAD_OF_LESS_URGENT
 
 
+@attrs.frozen
+class _Outcome:
+    """What callers got in several runs of a load.
+
+    Attributes:
+        credit: Mean part of the credit that was earned.
+        on_time_share: Mean part of the requests that met their latency goal.
+        latency_ms: Mean time to the end of the stages.
+        call_ms: Mean time of a call.
+    """
+
+    credit: float
+    on_time_share: float
+    latency_ms: float
+    call_ms: float
+
+    @classmethod
+    def of(cls, load: stage_load.StageLoad) -> _Outcome:
+        reports = [
+            stage_load.simulate(load, duration_s=DURATION_S, seed=seed) for seed in SLOW_SEEDS
+        ]
+        kinds = [kind for report in reports for kind in report.kinds.values()]
+        latencies_ms = [latency_ms for report in reports for latency_ms in report.latencies_ms]
+        return cls(
+            sum(report.credit_share for report in reports) / len(reports),
+            sum(kind.on_time for kind in kinds) / sum(kind.asked for kind in kinds),
+            sum(latencies_ms) / len(latencies_ms),
+            sum(report.busy_ms for report in reports)
+            / sum(report.call_count for report in reports),
+        )
+
+
+SLOW_SEEDS = range(1, 5)
+
+
+@pytest.mark.parametrize(
+    ("targets_per_zone", "span_ms", "lost_share"),
+    [
+        pytest.param(2, 600.0, 0.0, id="few-idle"),
+        pytest.param(2, 3_000.0, 0.3, id="few-idle-and-lost-reports"),
+        pytest.param(4, 600.0, 0.0, id="many-idle"),
+        pytest.param(4, 3_000.0, 0.3, id="many-idle-and-lost-reports"),
+    ],
+)
+def test_stated_slowdown_serves_callers_better(
+    targets_per_zone: int, span_ms: float, lost_share: float
+) -> None:
+    """Guards against work that waits at slow targets although they say that they are slow.
+
+    At any time a third of the targets take three times as long as usual.
+    """
+    load = _load(1.3, dict.fromkeys(POOLS, ("z1", "z2", "z3") * targets_per_zone))
+    silent = stage_load.SharedMachines(1 / 3, 3.0, span_ms, is_stated=False)
+    stated = attrs.evolve(silent, is_stated=True, lost_share=lost_share)
+    before = _Outcome.of(attrs.evolve(load, machines=silent))
+    after = _Outcome.of(attrs.evolve(load, machines=stated))
+    assert after.credit > before.credit
+    assert after.on_time_share > before.on_time_share
+    assert after.latency_ms < before.latency_ms
+    assert after.call_ms < before.call_ms
+
+
 def test_every_request_ends_once() -> None:
     """Guards against requests that are lost between the queue and a refusal."""
     load = _load(1.3, ONE_ZONE_OUT, BURST_OF_SUMMARIES)
--- a/testing/process/gateway/test_stage_batching.py
+++ b/testing/process/gateway/test_stage_batching.py
@@ -142,6 +142,30 @@
     assert _batches(steps, zones, soon_idle) == expected
 
 
+@pytest.mark.parametrize(
+    ("zone", "speeds", "expected"),
+    [
+        pytest.param("", {"z1": (1.0, 1.0), "z2": (1.0, 0.9)}, "z2", id="fastest-first"),
+        pytest.param("", {"z1": (1.0, 3.0), "z2": (2.0, 1.0)}, "z2", id="both-count"),
+        pytest.param("z1", {"z1": (1.0, 3.0), "z2": (1.0, 1.0)}, "z2", id="too-slow-for-its-zone"),
+        pytest.param("z1", {"z1": (1.0, 1.3), "z2": (1.0, 1.0)}, "z1", id="slightly-slow"),
+        pytest.param("z1", {"z1": (1.0, 3.0), "z2": (1.0, 3.0)}, "z1", id="all-slow"),
+        pytest.param("z1", {"z1": (3.0, 1.0), "z2": (1.0, 1.0)}, "z1", id="only-calls-were-slow"),
+    ],
+)
+def test_idle_target_by_its_speed(
+    zone: str, speeds: dict[str, tuple[float, float]], expected: str
+) -> None:
+    """Guards against a call at a target that states to be slow while a faster one is idle."""
+    idle = [
+        attrs.evolve(_idle(name), slowdown=slowdown, stated_slowdown=stated)
+        for name, (slowdown, stated) in speeds.items()
+    ]
+    queue = [_queued(Step("a", 4, 900, output_zone=zone))]
+    (batch,) = stage_batching.form_batches(queue, idle, frozenset(), POOL, NOW_MS)
+    assert batch.target.zone == expected
+
+
 def test_target_without_memory_gets_the_step_that_fits() -> None:
     """Guards against an idle target that waits for memory although another step would fit."""
     steps = [Step("large", 1, 500, size_bytes=900), Step("small", 1, 1_000)]
--- a/testing/process/gateway/test_stage_scheduler.py
+++ b/testing/process/gateway/test_stage_scheduler.py
@@ -10,6 +10,7 @@
 from sesamehold.process.gateway import stage_scheduler
 from sesamehold.process.gateway import stage_workers
 from sesamehold.process.gateway import targets
+from sesamehold.request.gateway import messages
 from sesamehold.request.gateway import ports
 from sesamehold.version import routing
 
@@ -236,6 +237,45 @@
     assert harness.confirm_freed() == [f"{first.target.address}/r1-0-0"]
 
 
+@pytest.mark.parametrize(
+    ("slowdown", "born_ms", "now_ms", "target_id", "expected_ms"),
+    [
+        pytest.param(None, 1, 0, "a0", 220, id="nothing-stated"),
+        pytest.param(3.0, 1, 0, "a1", 220, id="slow"),
+        pytest.param(0.5, 1, 0, "a0", 220, id="fast-target-is-not-held-to-it"),
+        pytest.param(3.0, 2, 0, "a0", 220, id="restarted-while-slow"),
+        pytest.param(3.0, 1, 1_000, "a0", 220, id="later-report-lost"),
+    ],
+)
+def test_call_at_a_target_that_states_its_slowdown(
+    slowdown: float | None, born_ms: int, now_ms: int, target_id: str, expected_ms: float
+) -> None:
+    """Guards against batches for slow targets, and against targets that count as slow for ever."""
+    harness = Harness(per_service=2)
+    first = harness.targets["a"][0]
+    harness.scheduler.load.observe(first, messages.LoadSample(0, 0, 1, slowdown), 0)
+    harness.targets["a"][0] = attrs.evolve(first, born_ms=born_ms)
+    harness.submit("r1", now_ms)
+    (call,) = harness.plan(now_ms)
+    assert (call.target.target_id, call.expected_ms) == (target_id, expected_ms)
+
+
+def test_call_at_a_slow_target_has_the_time_that_it_needs() -> None:
+    """Guards against pieces that are made twice because the only idle target is slow."""
+    harness = Harness()
+    (target,) = harness.targets["a"]
+    harness.scheduler.load.observe(target, messages.LoadSample(0, 0, 1, 3.0), 0)
+    harness.submit("r1")
+    (call,) = harness.plan(0)
+    assert (call.expected_ms, call.overdue_at_ms) == (660, 1_140)
+    harness.complete(call, 660)
+    # The stated slowdown explains the time of the call, so the target counts as fast after it.
+    harness.scheduler.load.observe(target, messages.LoadSample(0, 0, 1, 1.0), 2_000)
+    harness.submit("r2", 2_000)
+    (later,) = harness.plan(2_000)
+    assert later.expected_ms == pytest.approx(220)
+
+
 def test_late_result_of_an_overdue_call_ends_its_job() -> None:
     """Guards against a job that waits for inputs to be made again for a result that it has.
 
