--- a/src/sesamehold/process/gateway/target_ranking.py
+++ b/src/sesamehold/process/gateway/target_ranking.py
@@ -13,6 +13,7 @@
 from sesamehold.process.gateway import engine_choice
 from sesamehold.process.gateway import engine_load
 from sesamehold.process.gateway import engine_slowdowns
+from sesamehold.process.gateway import target_load
 from sesamehold.process.gateway import targets
 from sesamehold.version import rendezvous
 from sesamehold.version import routing
@@ -47,6 +48,8 @@
     incarnation: str
     running: int = 0
     latency_ms: float = INITIAL_LATENCY_MS
+    # The same at the usual speed of the target, without the slowdown that it stated.
+    usual_latency_ms: float = INITIAL_LATENCY_MS
     failures: float = 0.0
     failures_at_ms: int = 0
     backoff_until_ms: int = 0
@@ -69,9 +72,9 @@
     _request: engine_load.OpenRequest | None = None
     _is_open: bool = True
 
-    def on_answer(self, latency_ms: float) -> None:
+    def on_answer(self, latency_ms: float, now_ms: int) -> None:
         """Records the time from the send to the answer or to the first event."""
-        self._ranking.record_latency(self._target, latency_ms, self._request)
+        self._ranking.record_latency(self._target, latency_ms, now_ms, self._request)
 
     def end(self) -> None:
         """Removes the attempt from the counts; has no effect when repeated."""
@@ -88,11 +91,13 @@
 
     Attributes:
         zone: Availability zone of this host.
+        load: Load that targets state; empty if they state none.
     """
 
     zone: str
-    _load: engine_load.EngineLoad
+    _open_work: engine_load.EngineLoad
     _slowdowns: engine_slowdowns.EngineSlowdowns
+    load: target_load.TargetLoad = attrs.field(factory=target_load.TargetLoad)
     _stats: dict[str, _TargetStats] = attrs.field(factory=dict)
     _pace: engine_choice.ReadingPace = attrs.field(factory=engine_choice.ReadingPace)
 
@@ -142,7 +147,7 @@
             engines.append(
                 engine_choice.EngineState(
                     target,
-                    self._load.total(target, host_count, now_ms),
+                    self._open_work.total(target, host_count, now_ms),
                     self._slowdowns.slowdown(key),
                     self._slowdowns.is_slow(key),
                     1 + FAILURE_PENALTY * stats.recent_failures(now_ms),
@@ -171,7 +176,7 @@
             unread_tokens: Prompt tokens that it reads, None if the target is no engine.
         """
         self._stats_for(target).running += 1
-        request = None if unread_tokens is None else self._load.start(target, unread_tokens)
+        request = None if unread_tokens is None else self._open_work.start(target, unread_tokens)
         return OpenAttempt(self, target, request)
 
     def record_end(self, target: targets.Target) -> None:
@@ -180,11 +185,17 @@
         stats.running = max(0, stats.running - 1)
 
     def record_latency(
-        self, target: targets.Target, latency_ms: float, request: engine_load.OpenRequest | None
+        self,
+        target: targets.Target,
+        latency_ms: float,
+        now_ms: int,
+        request: engine_load.OpenRequest | None = None,
     ) -> None:
         """Records the time from a send to the answer or to the first event."""
         stats = self._stats_for(target)
         stats.latency_ms += LATENCY_EWMA_WEIGHT * (latency_ms - stats.latency_ms)
+        usual_ms = latency_ms / self.load.slowdown(target, now_ms)
+        stats.usual_latency_ms += LATENCY_EWMA_WEIGHT * (usual_ms - stats.usual_latency_ms)
         if request is not None and request.unread_tokens:
             self._pace.record(request.unread_tokens, latency_ms)
             expected_ms = self._pace.expected_ms(request.unread_tokens)
@@ -213,7 +224,8 @@
 
     def _plain_cost(self, target: targets.Target, stats: _TargetStats, now_ms: int) -> float:
         load = (stats.running + 1) / max(1, target.slots)
-        cost_ms = stats.latency_ms * (1 + load)
+        cost_ms = stats.usual_latency_ms * (1 + load) * self.load.slowdown(target, now_ms)
+        cost_ms += self.load.expected_start_ms(target, stats.usual_latency_ms, now_ms)
         if target.zone != self.zone:
             cost_ms += CROSS_ZONE_COST_MS
         return cost_ms * (1 + FAILURE_PENALTY * stats.recent_failures(now_ms))
--- a/testing/process/gateway/test_engine_choice.py
+++ b/testing/process/gateway/test_engine_choice.py
@@ -114,12 +114,8 @@
         while gossip_ms <= now_ms:
             if is_shared:
                 lossy_gossip.exchange(hosts, rng, gossip_ms)
-<<<<<<< HEAD
                 _mix_slowdowns(hosts, rng, gossip_ms)
-            gossip_ms += HEARTBEAT_MS
-=======
             gossip_ms += interval_ms
->>>>>>> view
         while due and due[0][0] <= now_ms:
             heapq.heappop(due)[2]()  # type: ignore[operator]
         host = rng.choice(hosts)
@@ -142,7 +138,8 @@
         wait_ms = engines[target.target_id].read(part, now_ms)
         waits.append(wait_ms)
         heapq.heappush(
-            due, (now_ms + wait_ms, next(order), lambda a=attempt, w=wait_ms: a.on_answer(w))
+            due,
+            (now_ms + wait_ms, next(order), lambda a=attempt, w=wait_ms: a.on_answer(w, int(w))),
         )
         heapq.heappush(due, (now_ms + wait_ms + ANSWER_MS, next(order), attempt.end))
     busy_ms = [engine.busy_ms for engine in engines.values()]
--- a/testing/request/gateway/test_target_search.py
+++ b/testing/request/gateway/test_target_search.py
@@ -108,7 +108,7 @@
     target = next(engine for engine in ENGINES if engine.target_id == RANKED[0])
     attempt = search.start(target)
     assert list(state.engine_load.report().work.values()) == [engine_load.EngineWork(1, 3_000)]
-    attempt.on_answer(100)
+    attempt.on_answer(100, 100)
     assert list(state.engine_load.report().work.values()) == [engine_load.EngineWork(1, 0)]
     attempt.end()
     assert not state.engine_load.report().work
