Give accounts turns at stages that are short, and estimate whole chains

Cause: no queue or refusal knew the account, so a burst of a large one delayed small ones at the stages.

Change: while the targets of a service need a second or more for what waits, accounts have turns by the work that they got since the shortage began; slack orders within a turn. Admission follows the whole chain, with the work that waiting jobs still bring, and less of other accounts. Jobs without results that cannot end in time are given up. Delays for retries follow from the queue, spread, at most a third of the time left.

--- a/bench/sesamehold_bench/process/stage_load.py
+++ b/bench/sesamehold_bench/process/stage_load.py
@@ -30,6 +30,8 @@
 PLAN_INTERVAL_MS = 50.0
 # Time within which the requests of a group arrive.
 GROUP_SPREAD_MS = 100.0
+# Time after which a caller that does not wait sends a refused request again.
+IMPATIENT_RETRY_MS = 20.0
 # A caller waits for at most this fraction of its remaining time before it sends a refused request
 # again.
 MAX_RETRY_WAIT_FRACTION = 1 / 3
@@ -85,12 +87,42 @@
 
 @attrs.frozen
 class Burst:
-    """A span in which requests arrive faster; `name` limits it to one kind of request."""
+    """A span in which requests arrive faster.
+
+    Attributes:
+        start_ms: Start of the span.
+        end_ms: End of the span.
+        factor: Arrival rate as a multiple of the usual one.
+        name: Kind of request that arrives faster, empty for all.
+        account: Client account that sends what is more than usual, empty for all by their shares.
+    """
 
     start_ms: float
     end_ms: float
     factor: float
     name: str = ""
+    account: str = ""
+
+    def includes(self, now_ms: float, name: str) -> bool:
+        """Returns whether requests of a kind arrive faster at a time."""
+        return self.start_ms <= now_ms < self.end_ms and self.name in ("", name)
+
+
+@attrs.frozen
+class AccountShape:
+    """Requests of one client account.
+
+    Attributes:
+        name: Name in the report.
+        demand: Part of all requests, relative to the other accounts.
+        retry_count: How often its callers send a refused request again.
+        waits: Whether they wait for as long as the refusal says.
+    """
+
+    name: str
+    demand: float = 1.0
+    retry_count: int = 1
+    waits: bool = True
 
 
 @attrs.frozen
@@ -103,6 +135,7 @@
         shapes: Kinds of requests.
         bursts: Spans with more requests.
         mean_group_size: Mean number of requests that arrive together.
+        accounts: Client accounts; requests are anonymous if there are none.
     """
 
     pools: dict[str, routing.StagePool]
@@ -110,15 +143,23 @@
     shapes: tuple[RequestShape, ...]
     bursts: tuple[Burst, ...] = ()
     mean_group_size: float = 1.0
+    accounts: tuple[AccountShape, ...] = (AccountShape(""),)
 
     def rate_per_s(self, shape: RequestShape, now_ms: float) -> float:
         """Returns the arrival rate of a kind of request at a time."""
         rate_per_s = shape.rate_per_s
         for burst in self.bursts:
-            if burst.start_ms <= now_ms < burst.end_ms and burst.name in ("", shape.name):
+            if burst.includes(now_ms, shape.name):
                 rate_per_s *= burst.factor
         return rate_per_s
 
+    def draw_account(self, rng: random.Random, name: str, now_ms: float) -> AccountShape:
+        """Draws the client account of a request of a kind that arrives at a time."""
+        for burst in self.bursts:
+            if burst.account and burst.includes(now_ms, name) and rng.random() * burst.factor >= 1:
+                return next(known for known in self.accounts if known.name == burst.account)
+        return rng.choices(self.accounts, [known.demand for known in self.accounts])[0]
+
 
 @attrs.define
 class KindReport:
@@ -141,13 +182,42 @@
     owed: float = 0.0
 
 
+@attrs.define
+class AccountReport:
+    """What the callers of one client account got.
+
+    Attributes:
+        asked: Callers that sent a request with stages.
+        on_time: Callers whose answer met the latency goal.
+        late: Callers whose answer came later, but before their deadline.
+        results_ms: Times from the arrival to the end of the stages.
+    """
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    results_ms: list[float] = attrs.field(factory=list)
+
+    @property
+    def served_share(self) -> float:
+        """Returns the share of callers that were served, also late."""
+        return (self.on_time + self.late) / max(1, self.asked)
+
+    @property
+    def on_time_share(self) -> float:
+        """Returns the share of callers that were served within the latency goal."""
+        return self.on_time / max(1, self.asked)
+
+
 @attrs.define
 class LoadReport:
     """Result of one simulation.
 
     Attributes:
         kinds: Report by kind of request.
+        accounts: Report by client account, of requests with stages.
         latencies_ms: Times from arrival to the end of the stages.
+        refused_ms: Times from arrival to the last refusal of callers that were not served.
         busy_ms: Total time that targets worked.
         wasted_ms: Part of it for results that no answer used.
         cross_zone_bytes: Bytes of results that were fetched from another availability zone.
@@ -156,7 +226,9 @@
     """
 
     kinds: dict[str, KindReport] = attrs.field(factory=dict)
+    accounts: dict[str, AccountReport] = attrs.field(factory=dict)
     latencies_ms: list[float] = attrs.field(factory=list)
+    refused_ms: list[float] = attrs.field(factory=list)
     busy_ms: float = 0.0
     wasted_ms: float = 0.0
     cross_zone_bytes: int = 0
@@ -177,7 +249,8 @@
     arrived_ms: float
     preferred_zone: str
     piece_counts: tuple[int, ...]
-    has_returned: bool = False
+    account: AccountShape
+    return_count: int = 0
     spent_ms: float = 0.0
 
 
@@ -254,6 +327,7 @@
             deadline_ms=shape.deadline_ms - spent_ms,
             request_ms=shape.engine_ms,
             preferred_zone=caller.preferred_zone,
+            account=caller.account.name,
         )
         if not any(caller.piece_counts):
             self._answer(caller, ports.StageResults(()), now_ms)
@@ -268,13 +342,16 @@
         self.report.wasted_ms += caller.spent_ms
         caller.spent_ms = 0.0
         left_ms = caller.arrived_ms + caller.shape.deadline_ms - now_ms
-        if not caller.has_returned and left_ms > 0:
-            caller.has_returned = True
+        if caller.return_count < caller.account.retry_count and left_ms > 0:
+            caller.return_count += 1
             caller.request_id += "-again"
             wait_ms = min(failure.retry_after_ms, left_ms * MAX_RETRY_WAIT_FRACTION)
+            if not caller.account.waits:
+                wait_ms = min(IMPATIENT_RETRY_MS, wait_ms)
             self.schedule(now_ms + wait_ms, "return", caller)
             return
         self.report.kinds[caller.shape.name].refused += 1
+        self.report.refused_ms.append(now_ms - caller.arrived_ms)
 
     def _schedule_plan(self, time_ms: float) -> None:
         if self.planned_at_ms is None or time_ms < self.planned_at_ms:
@@ -349,6 +426,11 @@
                 self.report.cross_zone_bytes += shape.stages[_stage_index(handle)].result_size_bytes
         elapsed_ms = now_ms + shape.engine_ms - caller.arrived_ms
         kind = self.report.kinds[shape.name]
+        account = self.report.accounts[caller.account.name]
+        if any(caller.piece_counts):
+            account.results_ms.append(now_ms - caller.arrived_ms)
+            account.on_time += elapsed_ms <= shape.latency_goal_ms
+            account.late += shape.latency_goal_ms < elapsed_ms <= shape.deadline_ms
         self.report.latencies_ms.append(now_ms - caller.arrived_ms)
         if elapsed_ms <= shape.latency_goal_ms:
             kind.on_time += 1
@@ -395,19 +477,29 @@
     }
     by_id = {target.target_id: target for pool in pools.values() for target in pool}
     scheduler = stage_scheduler.StageScheduler(
-        lambda service: pools.get(service, []), load.pools.get, by_id.get, lambda _: True
+        lambda service: pools.get(service, []),
+        load.pools.get,
+        by_id.get,
+        lambda _: True,
+        random.Random(seed),
     )
     rng = random.Random(seed)
     zone_by_id = {target.target_id: target.zone for target in by_id.values()}
     simulation = _Simulation(load, rng, duration_s * 1_000, scheduler, zone_by_id)
     zones = sorted({zone for known in load.zones.values() for zone in known})
+    # Of their own, so that accounts do not change what arrives.
+    account_rng = random.Random(seed)
+    simulation.report.accounts = {known.name: AccountReport() for known in load.accounts}
     for shape in load.shapes:
         kind = simulation.report.kinds[shape.name] = KindReport()
         for number, at_ms in enumerate(_arrivals(load, shape, simulation)):
             kind.asked += 1
             kind.owed += shape.worth
             counts = tuple(rng.choice(stage.piece_counts) for stage in shape.stages)
-            caller = _Caller(shape, f"{shape.name}-{number}", at_ms, rng.choice(zones), counts)
+            account = load.draw_account(account_rng, shape.name, at_ms)
+            simulation.report.accounts[account.name].asked += any(counts)
+            zone = rng.choice(zones)
+            caller = _Caller(shape, f"{shape.name}-{number}", at_ms, zone, counts, account)
             simulation.schedule(at_ms, "arrival", caller)
     simulation.run_events()
     return simulation.report
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -7,6 +7,7 @@
 
 # Histogram buckets, from a request to a nearby target without stages up to the longest deadline.
 _BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 6.0, 10.0, 20.0)
+_ACCOUNT_BUCKETS_S = (0.5, 1.0, 2.0, 4.0, 8.0)
 _PIECE_BUCKETS = (1, 2, 4, 8, 16, 32, 64, 128)
 
 
@@ -28,6 +29,8 @@
     stage_seconds: prometheus_client.Histogram = attrs.field(init=False)
     stage_call_pieces: prometheus_client.Histogram = attrs.field(init=False)
     stage_jobs: prometheus_client.Counter = attrs.field(init=False)
+    stage_refusals: prometheus_client.Counter = attrs.field(init=False)
+    stage_account_seconds: prometheus_client.Histogram = attrs.field(init=False)
     store_calls: prometheus_client.Counter = attrs.field(init=False)
     store_era: prometheus_client.Gauge = attrs.field(init=False)
     invalid_items: prometheus_client.Counter = attrs.field(init=False)
@@ -95,6 +98,19 @@
         self.stage_jobs = counter(
             "sesamehold_stage_jobs_total", "Stages of requests.", ["outcome"], registry=registry
         )
+        self.stage_refusals = counter(
+            "sesamehold_stage_refusals_total",
+            "Requests whose stages were refused or given up by this leader.",
+            ["reason", "account"],
+            registry=registry,
+        )
+        self.stage_account_seconds = histogram(
+            "sesamehold_stage_account_seconds",
+            "Time that the stages of a request took at the leader.",
+            ["account"],
+            buckets=_ACCOUNT_BUCKETS_S,
+            registry=registry,
+        )
         self.store_calls = counter(
             "sesamehold_store_calls_total", "Calls to the store.", ["outcome"], registry=registry
         )
--- a/src/sesamehold/process/gateway/stage_job.py
+++ b/src/sesamehold/process/gateway/stage_job.py
@@ -83,6 +83,7 @@
         request: Request that the job serves.
         latency_goal_at_ms: Monotonic time by which the results are wanted.
         deadline_at_ms: Monotonic time after which the results are useless.
+        submitted_at_ms: Monotonic time at which this host got the job.
     """
 
     request: ports.StageRequest
@@ -90,6 +91,7 @@
     deadline_at_ms: int
     _stages: dict[int, _Stage]
     _dependents: dict[int, list[int]]
+    submitted_at_ms: int = 0
 
     @classmethod
     def from_request(cls, request: ports.StageRequest, now_ms: int) -> Job:
@@ -110,6 +112,7 @@
             now_ms + request.deadline_ms,
             stages,
             dependents,
+            now_ms,
         )
 
     def adopt_result(self, piece: ports.CompletedPiece, target: targets.Target) -> None:
@@ -207,6 +210,16 @@
             and all(self._stages[dependency].done for dependency in stage.dependencies)
         ]
 
+    def waiting_pieces(self) -> collections.Counter[str]:
+        """Returns the pieces by service that are neither done nor in flight, of all stages."""
+        counts: collections.Counter[str] = collections.Counter()
+        for stage in self._stages.values():
+            counts[stage.work.service] += sum(
+                piece not in stage.results and not stage.in_flight[piece]
+                for piece in range(stage.work.piece_count)
+            )
+        return +counts
+
     def result_size_bytes(self, stage_index: int) -> int:
         """Returns the approximate size of the result of one piece."""
         return self._stages[stage_index].work.result_size_bytes
--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -18,6 +18,9 @@
 # Ranks of urgency that a step loses once it misses its latency goal. Less urgent requests may have
 # longer deadlines; behind all of them, urgent requests would fail first.
 LATE_URGENCY_LOSS = 1.5
+# Ranks that a step loses at most if its account has had its turn: it stays ahead of less urgent
+# ones.
+LATER_ROUND_LOSS = 0.25
 # Slack subtracted from the steps of a job that has been started, so that it is finished before its
 # results expire or their memory is needed.
 STARTED_SLACK_MS = 1_000
@@ -35,10 +38,12 @@
     Attributes:
         step: Pieces that can be processed now.
         latest_start_ms: Monotonic time after which a start makes the job miss its latency goal.
+        round: Round in which its account has its turn; 0 without a shortage.
     """
 
     step: stage_job.ReadyStep
     latest_start_ms: float
+    round: int = 0
 
     def sort_key(self, now_ms: int, penalty_ms: float = 0.0) -> tuple[float, float, float]:
         """Returns the sort key: most urgent first, then least slack.
@@ -53,18 +58,41 @@
         """
         job = self.step.job
         at_ms = self.latest_start_ms + penalty_ms
+        rank = job.request.urgency + LATER_ROUND_LOSS * self.round / (1 + self.round)
         if now_ms > self.latest_start_ms:
-            return job.request.urgency + LATE_URGENCY_LOSS, job.open_count, at_ms
-        return job.request.urgency, at_ms - (STARTED_SLACK_MS if job.started else 0), 0.0
+            return rank + LATE_URGENCY_LOSS, job.open_count, at_ms
+        return rank, at_ms - (STARTED_SLACK_MS if job.started else 0), 0.0
+
+
+@attrs.frozen(eq=False)
+class WaitingJob:
+    """Work of a job that awaits calls, also that of stages whose inputs are not there yet.
+
+    Attributes:
+        job: The job.
+        rank: Rank of its steps; lower ones are served first.
+        order: Order among the jobs of a rank.
+        paths: Service and piece count along each path of unfinished stages.
+        piece_counts: Pieces by service that are neither done nor in flight.
+    """
+
+    job: stage_job.Job
+    rank: float
+    order: tuple[float, float]
+    paths: tuple[tuple[tuple[str, int], ...], ...]
+    piece_counts: Mapping[str, int]
 
 
 @attrs.define
 class _Entry:
     job: stage_job.Job
     steps: list[QueuedStep] = attrs.field(factory=list)
-    piece_counts: collections.Counter[tuple[str, int]] = attrs.field(factory=collections.Counter)
     infeasible_after_ms: float = 0.0
     needed_services: frozenset[str] = frozenset()
+    # Monotonic time after which the job misses its latency goal.
+    late_after_ms: float = 0.0
+    paths: tuple[tuple[tuple[str, int], ...], ...] = ()
+    waiting_counts: Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -79,8 +107,6 @@
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
     _changed: dict[str, _Entry] = attrs.field(factory=dict)
     _steps: dict[str, dict[int, QueuedStep]] = attrs.field(factory=dict)
-    # Ready pieces by service and urgency.
-    _piece_counts: collections.Counter[tuple[str, int]] = attrs.field(factory=collections.Counter)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -139,14 +165,18 @@
         self._update_index()
         return [entry.job for entry in self._entries.values() if entry.needed_services & services]
 
-    def waiting_pieces(self, service: str, urgency: int) -> int:
-        """Returns the number of ready pieces that are served before new ones of an urgency."""
+    def waiting_jobs(self, now_ms: int) -> list[WaitingJob]:
+        """Returns the unfinished jobs."""
         self._update_index()
-        return sum(
-            count
-            for (known, other), count in self._piece_counts.items()
-            if known == service and other <= urgency
-        )
+        return [
+            _waiting_job(entry, now_ms) for entry in self._entries.values() if not entry.job.done
+        ]
+
+    def as_waiting(self, job: stage_job.Job, now_ms: int) -> WaitingJob:
+        """Returns a job that is not queued as if it were."""
+        entry = _Entry(job)
+        self._set_estimates(entry)
+        return _waiting_job(entry, now_ms)
 
     def critical_path_ms(self, job: stage_job.Job) -> float:
         """Returns the minimum time for the remaining stages of a job and its request."""
@@ -164,9 +194,7 @@
     def _remove_from_index(self, entry: _Entry) -> None:
         for item in entry.steps:
             self._steps[item.step.service].pop(id(item), None)
-        self._piece_counts.subtract(entry.piece_counts)
         entry.steps = []
-        entry.piece_counts = collections.Counter()
 
     def _add_to_index(self, entry: _Entry) -> None:
         job = entry.job
@@ -174,15 +202,20 @@
         if job.done:
             entry.infeasible_after_ms = float("inf")
             return
-        critical_path_ms = self.critical_path_ms(job)
-        entry.infeasible_after_ms = job.deadline_at_ms - max(critical_path_ms, MIN_TIME_LEFT_MS)
-        steps = job.ready_steps()
-        for step in steps:
-            entry.piece_counts[step.service, job.request.urgency] += len(step.pieces)
-        entry.steps = self._startable_steps(job, steps, critical_path_ms)
+        critical_path_ms = self._set_estimates(entry)
+        entry.steps = self._startable_steps(job, job.ready_steps(), critical_path_ms)
         for item in entry.steps:
             self._steps.setdefault(item.step.service, {})[id(item)] = item
-        self._piece_counts.update(entry.piece_counts)
+
+    def _set_estimates(self, entry: _Entry) -> float:
+        """Sets what follows from the unfinished stages of a job; returns its critical path."""
+        job = entry.job
+        entry.paths = tuple(map(tuple, job.remaining_paths()))
+        critical_path_ms = self.critical_path_ms(job)
+        entry.infeasible_after_ms = job.deadline_at_ms - max(critical_path_ms, MIN_TIME_LEFT_MS)
+        entry.late_after_ms = job.latency_goal_at_ms - critical_path_ms
+        entry.waiting_counts = job.waiting_pieces()
+        return critical_path_ms
 
     def _startable_steps(
         self, job: stage_job.Job, steps: Iterable[stage_job.ReadyStep], critical_path_ms: float
@@ -212,6 +245,16 @@
         return total_ms
 
 
+def _waiting_job(entry: _Entry, now_ms: int) -> WaitingJob:
+    job = entry.job
+    rank: float = job.request.urgency
+    order = (entry.late_after_ms, 0.0)
+    if now_ms > entry.late_after_ms:
+        rank += LATE_URGENCY_LOSS
+        order = (job.open_count, entry.late_after_ms)
+    return WaitingJob(job, rank, order, entry.paths, entry.waiting_counts)
+
+
 def is_memory_bound(pool: routing.StagePool, result_size_bytes: int) -> bool:
     """Returns whether the results of two full calls exceed the result memory of a target."""
     return 2 * pool.batch_size * result_size_bytes > pool.result_capacity_bytes
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -11,6 +11,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.process.gateway import account_labels
 from sesamehold.process.gateway import stage_scheduler
 from sesamehold.process.gateway import stage_workers
 from sesamehold.process.gateway import state as states
@@ -47,6 +48,9 @@
     _waiters: dict[str, asyncio.Future[ports.StageFailure | None]] = attrs.field(factory=dict)
     _results: dict[str, ports.StageResults] = attrs.field(factory=dict)
     _listeners: dict[str, ports.ProgressListener] = attrs.field(factory=dict)
+    _account_labels: account_labels.AccountLabels = attrs.field(
+        factory=account_labels.AccountLabels
+    )
     _is_leader: bool = True
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _plan_timer: asyncio.TimerHandle | None = None
@@ -59,6 +63,7 @@
             self._pool_for,
             self._state.directory.find,
             self._state.may_call_stage,
+            self._state.rng,
         )
 
     def __len__(self) -> int:
@@ -80,6 +85,7 @@
         failure = self._scheduler.submit(request, self._state.clock.now_ms())
         if failure is not None:
             self._state.metrics.stage_jobs.labels(failure.kind).inc()
+            self._log_refusal(request, failure, 0)
             return Error(failure)
         waiter: asyncio.Future[ports.StageFailure | None] = (
             asyncio.get_running_loop().create_future()
@@ -160,6 +166,14 @@
             # Later requests are accepted again, because their senders know no other leader.
             self._is_leader = not self.open_count
         self._complete(finished)
+        for change in self._scheduler.take_shortage_changes():
+            self._state.log.write(
+                "stage.shortage",
+                service=change.service,
+                began=change.is_short,
+                drain_ms=round(change.drain_ms),
+                accounts=change.account_count,
+            )
         for call in calls:
             self._state.record_stage_call(call.target)
             self._start_task(self._run_call(call))
@@ -259,10 +273,32 @@
             waiter = self._waiters.get(request_id)
             if waiter is None or waiter.done():
                 continue
+            waited_ms = self._state.clock.now_ms() - item.job.submitted_at_ms
             if item.failure is None:
                 self._results[request_id] = item.job.results()
+                self._state.metrics.stage_account_seconds.labels(
+                    self._account_labels.label(item.job.request.account)
+                ).observe(waited_ms / _MS_PER_S)
+            elif item.failure.kind != ports.HANDED_OVER:
+                self._log_refusal(item.job.request, item.failure, waited_ms)
             waiter.set_result(item.failure)
 
+    def _log_refusal(
+        self, request: ports.StageRequest, failure: ports.StageFailure, waited_ms: int
+    ) -> None:
+        label = self._account_labels.label(request.account)
+        self._state.metrics.stage_refusals.labels(failure.kind, label).inc()
+        self._state.log.write(
+            "stage.refused",
+            request=request.request_id,
+            reason=failure.kind,
+            account=request.account or None,
+            urgency=request.urgency,
+            waited_ms=waited_ms,
+            left_ms=request.deadline_ms - waited_ms,
+            retry_after_ms=failure.retry_after_ms,
+        )
+
     def _schedule_free(self) -> None:
         if self._free_timer is None:
             loop = asyncio.get_running_loop()
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -9,9 +9,12 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import random
 
 import attrs
 
+from sesamehold.process.gateway import account_shares
+from sesamehold.process.gateway import stage_admission
 from sesamehold.process.gateway import stage_batching
 from sesamehold.process.gateway import stage_job
 from sesamehold.process.gateway import stage_queue
@@ -64,21 +67,28 @@
         pool_for: Returns the stage pool of a service, None if the service does not run stages.
         find_target: Returns a target by its identity, None if it is not known.
         may_call: Returns whether a target's own restrictions allow a call to it now.
+        rng: Source of the spread of retry delays.
     """
 
     usable_targets: Callable[[str], list[targets.Target]]
     pool_for: Callable[[str], routing.StagePool | None]
     find_target: Callable[[str], targets.Target | None]
     may_call: Callable[[targets.Target], bool]
+    rng: random.Random = attrs.field(factory=random.Random)
     _queue: stage_queue.StageQueue = attrs.field(init=False)
+    _admission: stage_admission.StageAdmission = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
     _freed: dict[str, tuple[targets.Target, list[str]]] = attrs.field(factory=dict)
     _without_target_since_ms: dict[str, int] = attrs.field(factory=dict)
+    _shares: account_shares.ShareTable = attrs.field(factory=account_shares.ShareTable)
     _last_submit_ms: int | None = None
     _contended_until_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._queue = stage_queue.StageQueue(self.pool_for)
+        self._admission = stage_admission.StageAdmission(
+            self.pool_for, lambda service: len(self.usable_targets(service)), self.rng
+        )
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -96,9 +106,10 @@
         for work in request.stages:
             if work.piece_count and self.pool_for(work.service) is None:
                 return ports.StageFailure("unknown-stage-service", RETRY_AFTER_MS)
-        wait_ms = self._expected_wait_ms(job)
-        if now_ms + wait_ms + self._queue.critical_path_ms(job) > job.deadline_at_ms:
-            return ports.StageFailure("overloaded", max(RETRY_AFTER_MS, int(wait_ms)))
+        self._update_admission(now_ms)
+        failure = self._admission.admit(self._queue.as_waiting(job, now_ms), now_ms)
+        if failure is not None:
+            return failure
         if self._last_submit_ms is None or now_ms - self._last_submit_ms > TAKEOVER_CONTENTION_MS:
             # Another host may have been the leader until now, and its calls may still run.
             self._contended_until_ms = now_ms + TAKEOVER_CONTENTION_MS
@@ -134,7 +145,10 @@
         self._release_overdue_pieces(now_ms)
         finished: list[FinishedJob] = []
         for job in self._queue.infeasible(now_ms):
-            finished += self._fail(job, "too-late")
+            finished += self._fail(job, "too-late", now_ms)
+        if self._shares.is_any_short:
+            for job in self._hopeless_jobs(now_ms):
+                finished += self._fail(job, "no-room-in-time", now_ms)
         for job in self._queue.jobs_that_need(self._services_without_target(now_ms)):
             finished += self._fail(job, "no-stage-target")
         calls: list[stage_workers.Call] = []
@@ -142,6 +156,10 @@
             calls += self._plan_service(service, now_ms)
         return calls, finished
 
+    def take_shortage_changes(self) -> list[account_shares.ShortageChange]:
+        """Returns the services that have become short of capacity, or are no longer, once each."""
+        return self._shares.take_changes()
+
     def next_timeout_ms(self) -> float | None:
         """Returns the earliest time at which a call becomes overdue or times out, None if idle."""
         return self._workers.next_timeout_ms()
@@ -250,13 +268,28 @@
             for target, worker in workers
             if worker.is_free_within(stage_batching.MAX_ZONE_WAIT_MS, now_ms)
         )
-        queue = self._queue.queued_steps(service, now_ms)
+        queue = self._shares.order(
+            service, pool, len(workers), self._queue.queued_steps(service, now_ms), now_ms
+        )
         batches = stage_batching.form_batches(queue, idle, soon_idle_zones, pool, now_ms)
         return [
             self._create_call(batch.target, batch.pieces, pool, len(queue), now_ms)
             for batch in batches
         ]
 
+    def _update_admission(self, now_ms: int) -> None:
+        if self._admission.is_outdated(now_ms):
+            self._admission.update(self._queue.waiting_jobs(now_ms), now_ms)
+
+    def _hopeless_jobs(self, now_ms: int) -> list[stage_job.Job]:
+        """Returns the jobs without results that cannot end in time behind what is ahead of them."""
+        self._update_admission(now_ms)
+        return [
+            job
+            for job in self._admission.take_hopeless()
+            if self._queue.contains(job) and not job.started
+        ]
+
     def _create_call(
         self,
         target: targets.Target,
@@ -267,6 +300,8 @@
     ) -> stage_workers.Call:
         piece_calls = []
         for piece in batch:
+            owner = piece.job.request
+            self._shares.record(target.service, owner.urgency, owner.account, pool.work_time_ms(1))
             remaining_ms = max(1, piece.job.deadline_at_ms - now_ms)
             piece_calls.append(
                 piece.job.piece_request(piece.stage_index, piece.piece, remaining_ms)
@@ -282,22 +317,6 @@
         worker.calls.append(call)
         return call
 
-    def _expected_wait_ms(self, job: stage_job.Job) -> float:
-        """Returns the expected queueing delay of a new job behind those at least as urgent."""
-        paths = job.remaining_paths()
-        urgency = job.request.urgency
-        services = {service for path in paths for service, _ in path}
-        waits = {service: self._service_wait_ms(service, urgency) for service in services}
-        return max((sum(waits[service] for service, _ in path) for path in paths), default=0.0)
-
-    def _service_wait_ms(self, service: str, urgency: int) -> float:
-        pool = self.pool_for(service)
-        if pool is None:
-            return 0.0
-        calls = self._queue.waiting_pieces(service, urgency) / pool.batch_size
-        work_ms = calls * pool.call_time_ms(pool.batch_size)
-        return work_ms / max(1, len(self.usable_targets(service)))
-
     # ---- results -------------------------------------------------------------------------------
 
     def _adopt_results(self, job: stage_job.Job, now_ms: int) -> None:
@@ -356,10 +375,14 @@
             return self._fail(job, "stage-late")
         return [] if can_retry else self._fail(job, f"stage-{reason or 'error'}")
 
-    def _fail(self, job: stage_job.Job, kind: str) -> list[FinishedJob]:
+    def _fail(self, job: stage_job.Job, kind: str, now_ms: int | None = None) -> list[FinishedJob]:
+        """Ends a job; with the time, its caller is told when there will be room."""
         self._queue.remove(job.request.request_id)
         self._schedule_free(job.held_results())
-        return [FinishedJob(job, ports.StageFailure(kind, RETRY_AFTER_MS))]
+        retry_after_ms = RETRY_AFTER_MS
+        if now_ms is not None:
+            retry_after_ms = self._admission.retry_after_ms(job, now_ms)
+        return [FinishedJob(job, ports.StageFailure(kind, retry_after_ms))]
 
     def _schedule_free(self, results: Iterable[stage_job.StoredResult]) -> None:
         for result in results:
--- a/src/sesamehold/version/routing.py
+++ b/src/sesamehold/version/routing.py
@@ -129,6 +129,14 @@
         """
         return self.call_ms + piece_count * self.piece_ms
 
+    def work_time_ms(self, piece_count: int) -> float:
+        """Returns the time of a target that pieces take in full calls, with their part of them.
+
+        >>> StagePool(1, 2, 10, 200.0, 10.0, 1_000, 4_000).work_time_ms(5)
+        150.0
+        """
+        return piece_count * self.call_time_ms(self.batch_size) / self.batch_size
+
 
 @attrs.frozen
 class EnginePool:
--- a/testing/bench/test_stage_load.py
+++ b/testing/bench/test_stage_load.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 from sesamehold_bench.process import stage_load
 
@@ -139,3 +140,72 @@
     for kind in report.kinds.values():
         assert kind.on_time + kind.late + kind.refused <= kind.asked
         assert kind.on_time + kind.late + kind.refused >= kind.asked * 0.95
+
+
+LARGE_COUNT = 3
+LARGE = tuple(stage_load.AccountShape(f"large-{index}", 9.0) for index in range(LARGE_COUNT))
+SMALL = tuple(stage_load.AccountShape(f"small-{index}") for index in range(16 - LARGE_COUNT))
+IMPATIENT = attrs.evolve(LARGE[0], retry_count=4, waits=False)
+BURST_OF_ONE_ACCOUNT = stage_load.Burst(8_000, 15_000, 2.2, account=LARGE[0].name)
+BURST_OF_ALL_ACCOUNTS = stage_load.Burst(8_000, 15_000, 2.2)
+# The burst of another account costs a small one at most this part of its requests.
+MAX_LOSS_OF_SMALL = 0.05
+# An account is served at least this fraction as often as all.
+MIN_RELATIVE_ACCOUNT_SHARE = 0.5
+
+
+def _served_share(accounts: list[stage_load.AccountReport]) -> float:
+    asked = sum(account.asked for account in accounts)
+    return sum(account.on_time + account.late for account in accounts) / asked
+
+
+def _account_load(
+    large: stage_load.AccountShape, *bursts: stage_load.Burst
+) -> stage_load.StageLoad:
+    load = _load(1.0, ONE_ZONE_OUT, *bursts)
+    return attrs.evolve(load, accounts=(large, *LARGE[1:], *SMALL))
+
+
+ACCOUNT_LOADS = [
+    pytest.param(_account_load(LARGE[0], BURST_OF_ALL_ACCOUNTS), id="burst-of-all"),
+    pytest.param(_account_load(LARGE[0], BURST_OF_ONE_ACCOUNT), id="burst-of-one"),
+    pytest.param(_account_load(IMPATIENT, BURST_OF_ONE_ACCOUNT), id="retries-at-once"),
+]
+
+
+@pytest.mark.parametrize("load", ACCOUNT_LOADS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_account_is_starved_in_a_burst(load: stage_load.StageLoad, seed: int) -> None:
+    """Guards against accounts that are refused or late behind the queue of a larger one."""
+    report = stage_load.simulate(load, duration_s=DURATION_S, seed=seed)
+    everyone = list(report.accounts.values())
+    for account in everyone:
+        assert account.served_share >= MIN_RELATIVE_ACCOUNT_SHARE * _served_share(everyone)
+    small = _served_share([report.accounts[account.name] for account in SMALL])
+    large = _served_share([report.accounts[account.name] for account in LARGE])
+    assert small >= large - MAX_LOSS_OF_SMALL
+
+
+@pytest.mark.parametrize("load", ACCOUNT_LOADS[1:])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_small_accounts_are_served_in_the_burst_of_a_large_one(
+    load: stage_load.StageLoad, seed: int
+) -> None:
+    """Guards against small accounts that pay for the burst or for the retries of a large one."""
+    report = stage_load.simulate(load, duration_s=DURATION_S, seed=seed)
+    calm = stage_load.simulate(attrs.evolve(load, bursts=()), duration_s=DURATION_S, seed=seed)
+    small, small_in_calm = (
+        _served_share([known.accounts[account.name] for account in SMALL])
+        for known in (report, calm)
+    )
+    assert small >= small_in_calm - MAX_LOSS_OF_SMALL
+
+
+def test_accounts_change_nothing_without_a_shortage() -> None:
+    """Guards against an order of stages that differs from the tuned one where there is room."""
+    load = _load(0.3, ALL_ZONES)
+    with_accounts = attrs.evolve(load, accounts=(*LARGE, *SMALL))
+    without = stage_load.simulate(load, duration_s=DURATION_S, seed=1)
+    report = stage_load.simulate(with_accounts, duration_s=DURATION_S, seed=1)
+    assert report.kinds == without.kinds
+    assert report.latencies_ms == without.latencies_ms
