--- a/src/sesamehold/process/settings.py
+++ b/src/sesamehold/process/settings.py
@@ -79,6 +79,7 @@
         caller_tls: Certificate for callers.
         peer_tls: Certificate for traffic between hosts.
         limits: Limits on what callers may send.
+        memory_bytes: Memory of this host for the daemon.
         balancer_grace_ms: Time that a graceful shutdown serves new requests after this host
             reports that it is not ready, because the balancer still sends some.
         drain_ms: Longest time that a graceful shutdown waits for running requests.
@@ -99,6 +100,7 @@
     caller_tls: Tls | None = None
     peer_tls: Tls | None = None
     limits: listening.CallerLimits = listening.CallerLimits()
+    memory_bytes: int = 256_000_000
     balancer_grace_ms: int = 5_000
     drain_ms: int = 60_000
     random_seed: int | None = None
@@ -133,6 +135,7 @@
         ),
         "seeds": constraints.Constraint(items=constraints.ADDRESS),
         "statsd_address": constraints.ADDRESS,
+        "memory_bytes": constraints.Constraint(minimum=100_000_000, maximum=1_000_000_000_000),
         "balancer_grace_ms": constraints.Constraint(minimum=0, maximum=600_000),
         "drain_ms": constraints.Constraint(minimum=0, maximum=86_400_000),
     },
--- a/testing/fleet_session.py
+++ b/testing/fleet_session.py
@@ -100,11 +100,13 @@
 
 
 @contextlib.contextmanager
-def small_fleet(**settings: Any) -> Iterator[FleetSession]:
-    """Runs the small fleet, with additional host settings, for the duration of the context."""
+def small_fleet(
+    deployment: fleet.Deployment = fleet.SMALL, **settings: Any
+) -> Iterator[FleetSession]:
+    """Runs a small fleet, with additional host settings, for the duration of the context."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         session = runner.run(_session())
-        running = local_fleet.LocalFleet.from_config(fleet.SMALL, session)
+        running = local_fleet.LocalFleet.from_config(deployment, session)
         running.settings.update(settings)
         try:
             runner.run(running.start())
