Bound what a process holds for callers before admission

Callers beyond the limits ended a process, which ran out of memory.

Cause: nothing bounded what a connection holds before its request is admitted. After a parse error aiohttp goes on parsing: each later read of up to 256 KB becomes another error, which keeps its bytes by its traceback, and uvloop reads up to 32 times in a row before the first error is answered. Unfinished heads and trailers had no bound as a whole, and bodies of sesameholdd none over all callers. Ruled out: growth by empty lines, chunk extensions and requests in a row, whose peaks were within the bound before.

Change: received bytes reach the parser in parts of 16 KiB, which end where a request may end, and only while there is room; the meter counts heads, empty lines and framing between parts. A refusal (431, 413, 400, 503 with Retry-After) ends parsing, frees what has arrived, follows the answers to the requests before it and closes the connection so that its caller reads it. One budget for each process counts what connections hold before admission; beyond it, those that hold most are refused. Framing that takes much time for its content is read more slowly. Both front ends and all their listeners use it. Bodies of the gateway get half of what the memory limit leaves besides 64 MB, where it was 40 % of the limit, as the process itself takes over 60 MB of 160.

--- a/src/sesamehold/connection/caller_body.py
+++ b/src/sesamehold/connection/caller_body.py
@@ -9,6 +9,7 @@
 from expression import Ok
 from expression import Result
 
+from sesamehold.connection import caller_connection
 from sesamehold.process import listening
 from sesamehold.request import errors
 
@@ -34,14 +35,18 @@
             async with asyncio.timeout(limits.idle_ms / _MS_PER_S):
                 chunk = await request.content.readany()
             if not chunk:
+                caller_connection.hold_body(request, 0)
                 return Ok(b"".join(chunks))
             size_bytes += len(chunk)
+            caller_connection.hold_body(request, size_bytes)
             if size_bytes > limits.body_size_bytes:
                 return Error(_too_large(limits))
             chunks.append(chunk)
     except TimeoutError:
         detail = f"No part of the body arrived for {limits.idle_ms} ms."
         return Error(errors.BodyTimeout(detail=detail))
+    except caller_connection.ExcessError as error:
+        return Error(caller_connection.failure_of(error.excess))
     except web.RequestPayloadError:
         return Error(errors.BadRequest(detail="The body is not well-formed HTTP.", field="body"))
 
--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -1,22 +1,54 @@
-"""One HTTP connection of a caller, which is closed only when it holds no request and no answer."""
+"""One HTTP connection of a caller, which is closed only when it holds no request and no answer.
+
+What a caller sends reaches the parser in parts of bounded size, and only while the requests before
+it, and their bodies, have room. Bytes that the parser cannot take yet wait here, and the socket is
+not read meanwhile. A connection that exceeds a limit is refused: nothing more of it is parsed.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 import enum
 from http import HTTPStatus
 from typing import Any
 
+from aiohttp import http_exceptions
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 import logbook
 
 from sesamehold.connection import problem_http
+from sesamehold.connection import request_meter
+from sesamehold.connection.gateway import framing_budget
 from sesamehold.process import listening
+from sesamehold.process import receive_budget
 from sesamehold.request import errors
 
+# Largest number of bytes that the parser gets at once.
+PART_BYTES = 16_384
+# A body that is not read yet waits in a buffer of twice this size.
+READ_BUFFER_BYTES = 65_536
+# Requests that wait for the one before them, after which the socket is not read.
+MAX_WAITING_REQUESTS = 4
+# Bytes that are read and dropped after a refusal, and the time for them. The kernel would reset a
+# connection that is closed before, and its caller might lose the refusal.
+LINGER_BYTES = 1_048_576
+LINGER_S = 2.0
+OVERLOADED_RETRY_MS = 1_000
+# Objects of one connection, without what it has received.
+CONNECTION_BYTES = 8_192
+# The parser holds each line of a head as bytes and as text, whose characters may take four bytes.
+HEAD_COPIES = 5
+# Framing of this many bytes costs as much time as one byte of the framing of a target's answers.
+FRAMING_BYTES_PER_CHARGE = 8
+# A connection that would have to wait longer for its framing is refused.
+MAX_FRAMING_PAUSE_MS = 1_000
+_HEAD_END = b"\r\n\r\n"
+_BODY_END = b"0\r\n\r\n"
+_TOO_MANY_LINES = "Too many headers"
 _MS_PER_S = 1_000
 _LOG = logbook.Logger("http")
 
@@ -30,6 +62,19 @@
     FLUSHING = "flushing"
 
 
+class ExcessError(web.RequestPayloadError):
+    """The connection was refused before a request on it had been received.
+
+    Attributes:
+        excess: Why it was refused.
+    """
+
+    def __init__(self, excess: receive_budget.Excess) -> None:
+        """Creates the error."""
+        super().__init__(excess.value)
+        self.excess = excess
+
+
 class CallerConnection(web.RequestHandler):
     """Server side of one connection.
 
@@ -40,30 +85,60 @@
     """
 
     __slots__ = (
+        "_body_left_bytes",
+        "_budget",
+        "_discarded_bytes",
+        "_framing",
         "_head_begun_s",
+        "_held_body_bytes",
+        "_holding",
         "_is_draining",
+        "_is_paced",
+        "_is_refused",
         "_last_request_body",
         "_limits",
+        "_linger",
+        "_meter",
         "_socket",
+        "_unparsed",
+        "_waiting_heads",
     )
 
     def __init__(
         self,
         manager: web.Server,
         limits: Callable[[], listening.ConnectionLimits],
+        budget: receive_budget.ReceiveBudget,
+        framing: framing_budget.FramingBudget,
         **options: Any,
     ) -> None:
         """Creates the connection.
 
         Args:
             manager: Server whose handler receives the requests.
-            limits: Returns the limits that are in force now. Those on headers apply as they are at
-                the start of the connection, and the idle time is never shorter than at its start.
+            limits: Returns the limits that are in force now. Those on header lines apply as they
+                are at the start of the connection, and the idle time is never shorter than then.
+            budget: Memory for all connections of the process.
+            framing: Processor time for the framing of bodies on all connections of the process.
             options: Further options of the base class.
         """
         super().__init__(manager, **_handler_options(limits()), **options)
+        self._max_msg_queue_size = MAX_WAITING_REQUESTS
+        self._msg_queue_resume_size = MAX_WAITING_REQUESTS // 2
         self._limits = limits
+        self._budget = budget
+        self._framing = framing
+        self._holding = receive_budget.Holding(self._shed)
+        self._meter = request_meter.RequestMeter()
+        self._unparsed = b""
+        self._waiting_heads: collections.deque[int] = collections.deque()
+        self._body_left_bytes: int | None = None
+        self._held_body_bytes = 0
         self._is_draining = False
+        self._is_refused = False
+        self._is_paced = False
+        self._discarded_bytes = 0
+        self._linger: asyncio.Future[None] | None = None
         self._head_begun_s: float | None = None
         self._last_request_body: Any = None
         self._socket: asyncio.Transport | None = None
@@ -76,7 +151,7 @@
         if self._messages or (self._waiter is not None and self._waiter.done()):
             return ConnectionPhase.HANDLING
         if self._waiter is None and self._request_count:
-            is_reading = self._current_request is not None and not self._last_request_body.is_eof()
+            is_reading = self._current_request is not None and self._is_in_body
             return ConnectionPhase.READING if is_reading else ConnectionPhase.HANDLING
         if self._head_begun_s is not None:
             return ConnectionPhase.READING
@@ -89,6 +164,10 @@
         """Returns when the connection began or had its last answer, in the time of the loop."""
         return self._next_keepalive_close_time - self._keepalive_timeout
 
+    @property
+    def _is_in_body(self) -> bool:
+        return self._last_request_body is not None and not self._last_request_body.is_eof()
+
     def start_drain(self) -> None:
         """Makes the connection end after the requests that have been received on it."""
         self._is_draining = True
@@ -101,6 +180,9 @@
 
     def finish_if_last(self, response: web.StreamResponse) -> None:
         """Announces the end of the connection if it drains and no further request has arrived."""
+        if self._is_in_body and not self._messages:
+            # What is left of the body is not read.
+            self._stop_parsing()
         if self._is_draining and not self._messages:
             response.force_close()
 
@@ -110,35 +192,251 @@
         if self._head_begun_s is None or waiter is None or waiter.done():
             return
         _LOG.info("head refused")
-        self._head_begun_s = None
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-        error = web_protocol._ErrInfo(status.value, TimeoutError(), status.phrase)
-        self._messages.append((error, streams.EMPTY_PAYLOAD))
-        waiter.set_result(None)
+        self._stop_parsing()
+        self._answer_error(HTTPStatus.SERVICE_UNAVAILABLE.value, TimeoutError())
+
+    def hold_body(self, size_bytes: int) -> None:
+        """Counts what has been read of a body of a request that is not admitted yet."""
+        self._held_body_bytes = 0 if self._is_refused else size_bytes
+        self._update_holding()
+
+    # ---- receiving -----------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to serve the connection."""
         super().connection_made(transport)
         self._socket = self.transport
+        self._update_holding()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the request in progress."""
         super().connection_lost(exc)
         self._socket = None
+        self._unparsed = b""
+        self._budget.update(self._holding, 0)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
+        """Parses received bytes, or keeps them until the parser has room.
+
+        The base class calls this without bytes when there is room again.
+        """
+        if self._force_close or self._close:
+            return
+        if self._is_refused:
+            self._discard(len(data))
+            return
+        data = self._unparsed + data
+        position = 0
+        while not self._is_parser_full():
+            part = data[position : position + self._part_bytes(data, position)]
+            position += len(part)
+            excess = self._parse(part)
+            if excess is not None:
+                self._refuse(excess)
+                return
+            if position == len(data):
+                break
+        self._unparsed = data[position:]
+        self._update_holding()
+
+    def _is_parser_full(self) -> bool:
+        return (
+            self._is_paced
+            or self._reading_paused
+            or len(self._messages) >= MAX_WAITING_REQUESTS
+            or len(self._message_tail) >= READ_BUFFER_BYTES
+        )
+
+    def _part_bytes(self, data: bytes, position: int) -> int:
+        """Returns the size of the next part, which ends where a request may end.
+
+        The parser returns no request from bytes in which it finds an error, so what may be an error
+        must not come with a sound request before it.
+        """
+        if self._is_in_body and self._body_left_bytes is not None:
+            return min(PART_BYTES, max(self._body_left_bytes, 1))
+        end = _BODY_END if self._is_in_body else _HEAD_END
+        # The end may have begun in the part before.
+        found = data.find(end, max(position - len(end) + 1, 0), position + PART_BYTES)
+        if found < 0 or found + len(end) <= position:
+            return PART_BYTES
+        return found + len(end) - position
+
+    def _parse(self, part: bytes) -> receive_budget.Excess | None:
+        """Gives bytes to the parser; returns why the connection must be refused after them."""
         known_count = self._request_count
-        is_in_body = self._last_request_body is not None and not self._last_request_body.is_eof()
-        super().data_received(data)
+        body = self._last_request_body if self._is_in_body else None
+        body_bytes = 0 if body is None else body.total_bytes
+        super().data_received(part)
+        limit_bytes = self._limits().head_size_bytes
         if self._request_count != known_count:
-            self._head_begun_s = None
-            if self._messages:
-                self._last_request_body = self._messages[-1][1]
-        # Empty lines between requests begin no head.
-        elif not is_in_body and self._head_begun_s is None and data.strip(b"\r\n"):
-            self._head_begun_s = self._loop.time()
-            self._schedule_time_limit(self._head_begun_s + self._limits().head_ms / _MS_PER_S)
+            return self._on_message(len(part))
+        if body is not None:
+            new_bytes = body.total_bytes - body_bytes
+            if self._body_left_bytes is not None:
+                self._body_left_bytes -= new_bytes
+            excess = self._meter.on_body_part(len(part), new_bytes, limit_bytes)
+            charge_bytes = self._meter.take_dense_framing() // FRAMING_BYTES_PER_CHARGE
+            return excess or self._pace(charge_bytes)
+        if self._upgraded:
+            return None
+        excess = self._meter.on_head_part(part, limit_bytes)
+        if self._meter.head_bytes and self._head_begun_s is None:
+            self._begin_head()
+        return excess
+
+    def _on_message(self, part_bytes: int) -> receive_budget.Excess | None:
+        """Records a request, or returns why the parser made an error out of it."""
+        message, body = self._messages[-1]
+        if isinstance(message, web_protocol._ErrInfo):
+            # Its traceback holds the part. An error while the handler waits is none of a request.
+            self._messages.pop()
+            return _excess_of(message)
+        self._head_begun_s = None
+        self._last_request_body = body
+        length = message.headers.get("Content-Length")
+        self._body_left_bytes = None if message.chunked or length is None else int(length)
+        self._waiting_heads.append(self._meter.on_head_complete(part_bytes))
+        return None
+
+    def _pace(self, charge_bytes: int) -> receive_budget.Excess | None:
+        """Stops to read for a time if the framing of bodies takes too much processor time."""
+        pause_ms = self._framing.spend(charge_bytes) if charge_bytes else 0
+        if pause_ms > MAX_FRAMING_PAUSE_MS:
+            return receive_budget.Excess.FRAMING_RATE
+        if pause_ms:
+            self._is_paced = True
+            self._pause_transport_reading()
+            self._loop.call_later(pause_ms / _MS_PER_S, self._end_pace)
+        return None
+
+    def _end_pace(self) -> None:
+        self._is_paced = False
+        if self._socket is None:
+            return
+        self.data_received(b"")
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Reads the socket again, unless it must not be read for another reason."""
+        if not self._is_paced:
+            super()._resume_transport_reading()
+
+    def _begin_head(self) -> None:
+        self._head_begun_s = self._loop.time()
+        self._schedule_time_limit(self._head_begun_s + self._limits().head_ms / _MS_PER_S)
+
+    # ---- refusals ------------------------------------------------------------------------------
+
+    def _refuse(self, excess: receive_budget.Excess) -> None:
+        """Refuses the request that is being received, behind the answers to those before it."""
+        self._budget.on_excess(excess)
+        self._stop_parsing()
+        if self._is_in_body:
+            self._last_request_body.set_exception(ExcessError(excess))
+        else:
+            self._answer_error(failure_of(excess).status, ExcessError(excess))
+        self._update_holding()
+
+    def _shed(self) -> None:
+        """Gives up what is held without an admitted request, as the process lacks memory."""
+        if self._is_refused or self._socket is None:
+            return
+        if self.phase is ConnectionPhase.IDLE:
+            self._budget.on_excess(receive_budget.Excess.MEMORY)
+            self.force_close()
+            return
+        if self._messages:
+            # These have not run. The first of them is refused, and the connection ends then.
+            self._messages.clear()
+            self._last_request_body = None
+        elif not self._is_in_body and not self._unparsed and self._head_begun_s is None:
+            # The request has been admitted since this connection was last counted.
+            self._update_holding()
+            return
+        self._refuse(receive_budget.Excess.MEMORY)
+
+    def _stop_parsing(self) -> None:
+        self._is_refused = self._is_draining = True
+        self._unparsed = b""
+        # The parser holds the part of a head that has arrived.
+        self._parser = None
+        self._meter = request_meter.RequestMeter()
+        self._held_body_bytes = 0
+        self._head_begun_s = None
+        if self._is_in_body and self._last_request_body._buffer:
+            self._last_request_body.read_nowait()
+
+    def _answer_error(self, status: int, error: Exception) -> None:
+        info = web_protocol._ErrInfo(status, error, "")
+        self._request_count += 1
+        self._messages.append((info, streams.EMPTY_PAYLOAD))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _discard(self, size_bytes: int) -> None:
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > LINGER_BYTES:
+            self._pause_transport_reading()
+            if self._linger is not None and not self._linger.done():
+                self._linger.set_result(None)
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Ends a response; after the last one of a refused connection, waits for its caller."""
+        body = request.content
+        if not body.is_eof():
+            self._stop_parsing()
+            resp.force_close()
+        error = body.exception()
+        if error is not None:
+            # The traceback holds the frame of the handler, and with it what was read of the body.
+            error.__traceback__ = None
+        self._held_body_bytes = 0
+        result = await super().finish_response(request, resp, start_time)
+        if self._is_refused and not self._messages and not result[1]:
+            await self._wait_for_end_of_caller()
+        if not body.is_eof():
+            # Otherwise the base class would read it.
+            body.feed_eof()
+        self._update_holding()
+        return result
+
+    async def _wait_for_end_of_caller(self) -> None:
+        transport = self.transport
+        if transport is None or self._discarded_bytes > LINGER_BYTES:
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._is_paced = False
+        self._resume_transport_reading()
+        self._linger = self._loop.create_future()
+        try:
+            async with asyncio.timeout(LINGER_S):
+                await self._linger
+        except TimeoutError:
+            return
+
+    def _update_holding(self) -> None:
+        if self._socket is None:
+            return
+        while len(self._waiting_heads) > len(self._messages):
+            self._waiting_heads.popleft()
+        head_bytes = self._meter.head_bytes + sum(self._waiting_heads)
+        held_bytes = len(self._unparsed) + self._held_body_bytes
+        if self._is_in_body:
+            head_bytes += self._meter.framing_since_body_bytes
+            held_bytes += self._last_request_body._size
+        held_bytes += HEAD_COPIES * head_bytes
+        can_be_shed = not self._is_refused and (
+            held_bytes > 0 or self.phase is ConnectionPhase.IDLE
+        )
+        size_bytes = held_bytes + CONNECTION_BYTES
+        self._budget.update(self._holding, size_bytes, can_be_shed=can_be_shed)
+
+    # ---- times ---------------------------------------------------------------------------------
 
     def _schedule_time_limit(self, at_s: float) -> None:
         if self._keepalive_handle is not None:
@@ -176,7 +474,10 @@
             _LOG.error("request handler failed", extra={"error": type(exc).__name__})
         if request.writer.output_size > 0:
             raise ConnectionError("response already started; it cannot be replaced by a failure")
-        response = problem_http.response(_status_failure(status), None)
+        failure = (
+            failure_of(exc.excess) if isinstance(exc, ExcessError) else _status_failure(status)
+        )
+        response = problem_http.response(failure, None)
         response.force_close()
         return response
 
@@ -188,6 +489,35 @@
         connection.finish_if_last(response)
 
 
+def hold_body(request: web.BaseRequest, size_bytes: int) -> None:
+    """Counts what has been read of the body of a request that is not admitted yet."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        connection.hold_body(size_bytes)
+
+
+def failure_of(excess: receive_budget.Excess) -> errors.Failure:
+    """Returns the failure that the caller of a refused connection receives."""
+    match excess:
+        case receive_budget.Excess.HEAD:
+            return errors.HeadTooLarge(detail="The head of the request exceeds its limit.")
+        case receive_budget.Excess.FRAMING:
+            return errors.TooLarge(detail="The chunks of the body exceed their limit.")
+        case receive_budget.Excess.MEMORY | receive_budget.Excess.FRAMING_RATE:
+            return errors.Overloaded(
+                detail="The host cannot receive this request now; send it again later.",
+                retry_after_ms=OVERLOADED_RETRY_MS,
+            )
+    return _status_failure(HTTPStatus.BAD_REQUEST)
+
+
+def _excess_of(error: web_protocol._ErrInfo) -> receive_budget.Excess:
+    is_too_long = isinstance(error.exc, http_exceptions.LineTooLong)
+    if is_too_long or error.message.startswith(_TOO_MANY_LINES):
+        return receive_budget.Excess.HEAD
+    return receive_budget.Excess.MALFORMED
+
+
 def _status_failure(status: int) -> errors.Failure:
     if status == HTTPStatus.INTERNAL_SERVER_ERROR:
         return errors.InternalError(
@@ -202,10 +532,10 @@
     return {
         "access_log": None,
         "keepalive_timeout": limits.idle_ms / _MS_PER_S,
-        "lingering_time": min(limits.idle_ms / _MS_PER_S, 2.0),
         "max_line_size": limits.header_size_bytes,
         "max_field_size": limits.header_size_bytes,
         "max_headers": limits.header_count,
+        "read_bufsize": READ_BUFFER_BYTES,
         # A compressed body can expand far beyond the limit, so compressed bodies are rejected.
         "auto_decompress": False,
     }
--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -9,6 +9,7 @@
 
 from sesamehold.connection import caller_connection
 from sesamehold.connection.gateway import target_pool
+from sesamehold.process import receive_budget
 from sesamehold.process.gateway import body_budget
 from sesamehold.request.gateway import admission
 from sesamehold.request.gateway import messages
@@ -22,6 +23,10 @@
 # A body waits this long for memory before its request is refused.
 MEMORY_TIMEOUT_S = 0.25
 MEMORY_RETRY_MS = 200
+_REASON_BY_EXCESS = {
+    receive_budget.Excess.HEAD: messages.Reason.HEADER_TOO_LARGE,
+    receive_budget.Excess.FRAMING: messages.Reason.BODY_TOO_LARGE,
+}
 
 
 @attrs.define(eq=False)
@@ -152,12 +157,18 @@
                     return self._no_memory_refusal()
                 body[size_bytes:end_bytes] = chunk
                 size_bytes = end_bytes
+                is_small = size_bytes <= body_budget.SMALL_BODY_BYTES
+                # A larger body counts in the budget for bodies.
+                caller_connection.hold_body(request, size_bytes if is_small else 0)
         except TimeoutError:
             if self._is_stopped:
                 return admission.stopping_refusal(self._services.state)
             return messages.Refusal(messages.Reason.BODY_TIMEOUT)
+        except caller_connection.ExcessError as error:
+            return self._excess_refusal(error.excess)
         except web.RequestPayloadError:
             return messages.Refusal(messages.Reason.MALFORMED)
+        caller_connection.hold_body(request, 0)
         if size_bytes < len(body):
             return messages.Refusal(messages.Reason.MALFORMED)
         return body
@@ -186,6 +197,11 @@
         state = self._services.state
         return admission.not_run_refusal(state, messages.Reason.OVERLOADED, MEMORY_RETRY_MS)
 
+    def _excess_refusal(self, excess: receive_budget.Excess) -> messages.Refusal:
+        if excess in (receive_budget.Excess.MEMORY, receive_budget.Excess.FRAMING_RATE):
+            return self._no_memory_refusal()
+        return messages.Refusal(_REASON_BY_EXCESS.get(excess, messages.Reason.MALFORMED))
+
     async def _read_chunk(self, request: web.BaseRequest) -> bytes:
         timeout_s = STOPPED_BODY_IDLE_TIMEOUT_S if self._is_stopped else BODY_IDLE_TIMEOUT_S
         async with asyncio.timeout(timeout_s) as read:
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -11,7 +11,10 @@
 import attrs
 
 from sesamehold.connection import caller_connection
+from sesamehold.connection.gateway import framing_budget
+from sesamehold.process import clock as clocks
 from sesamehold.process import listening
+from sesamehold.process import receive_budget
 
 
 @attrs.define(eq=False)
@@ -28,13 +31,15 @@
         application: web.Application,
         address_text: str,
         limits: listening.CallerLimits,
+        budget: receive_budget.ReceiveBudget,
+        clock: clocks.Clock,
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         """Listens on an address; idle connections are closed after the idle timeout."""
         application.on_response_prepare.append(_finish_if_last)
         runner = web.AppRunner(application, handler_cancellation=True, access_log=None)
         address = listening.Address.parse(address_text)
-        return await cls._listen(runner, address, limits.for_connection, tls)
+        return await cls._listen(runner, address, limits.for_connection, budget, clock, tls)
 
     @classmethod
     async def serve(
@@ -42,6 +47,8 @@
         server: web.Server,
         address: listening.Address,
         limits: Callable[[], listening.ConnectionLimits],
+        budget: receive_budget.ReceiveBudget,
+        clock: clocks.Clock,
     ) -> HttpListener:
         """Listens on an address with a low-level server that has no routes.
 
@@ -49,8 +56,10 @@
             server: Server whose handler receives all requests.
             address: Address to listen on.
             limits: Returns the limits that are in force now.
+            budget: Memory for all connections of the process.
+            clock: Source of time.
         """
-        return await cls._listen(web.ServerRunner(server), address, limits, None)
+        return await cls._listen(web.ServerRunner(server), address, limits, budget, clock, None)
 
     @classmethod
     async def _listen(
@@ -58,6 +67,8 @@
         runner: web.BaseRunner,
         address: listening.Address,
         limits: Callable[[], listening.ConnectionLimits],
+        budget: receive_budget.ReceiveBudget,
+        clock: clocks.Clock,
         tls: ssl.SSLContext | None,
     ) -> HttpListener:
         await runner.setup()
@@ -66,9 +77,12 @@
             raise RuntimeError("runner has no server after setup")
         loop = asyncio.get_running_loop()
         listener: HttpListener | None = None
+        framing = framing_budget.FramingBudget(clock)
 
         def create_connection() -> caller_connection.CallerConnection:
-            connection = caller_connection.CallerConnection(manager, limits, loop=loop)
+            connection = caller_connection.CallerConnection(
+                manager, limits, budget, framing, loop=loop
+            )
             if listener is not None and listener._is_draining:
                 connection.start_drain()
             return connection
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -25,6 +25,7 @@
 from sesamehold.process import listening
 from sesamehold.process import logs
 from sesamehold.process import node as nodes
+from sesamehold.process import receive_budget
 from sesamehold.process import settings
 from sesamehold.process import signals
 from sesamehold.version import manifest
@@ -39,6 +40,7 @@
 LOAD_POLL_S = 0.1
 
 _LOG = logbook.Logger("daemon")
+_EXCESSES = tuple(receive_budget.Excess)
 
 
 @attrs.define(eq=False)
@@ -50,6 +52,9 @@
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _listeners: list[http_listener.HttpListener] = attrs.field(factory=list)
+    _logged_refusals: dict[str, int] = attrs.field(
+        factory=lambda: dict.fromkeys((excess.value for excess in _EXCESSES), 0)
+    )
 
     @classmethod
     def from_config(cls, config: settings.Settings) -> Daemon:
@@ -136,7 +141,9 @@
     ) -> None:
         limits = self.node.config.limits
         try:
-            listener = await http_listener.HttpListener.start(application, address, limits, context)
+            listener = await http_listener.HttpListener.start(
+                application, address, limits, self.node.receive_budget, self.node.clock, context
+            )
         except OSError as error:
             await self._close()
             raise StartError(f"{address}: cannot listen: {error.strerror}") from error
@@ -151,12 +158,22 @@
             self._publish_notices()
             if now_ms - last_flush_ms >= METRICS_TICK_S * _MS_PER_S:
                 last_flush_ms = now_ms
+                self._log_refused_callers()
                 self.node.metrics.gauge("requests.open", len(self.node.requests))
                 alive = self.node.fleet.alive_count()
                 self._components.dispatcher.account_limits.set_live_hosts(alive)
                 self.node.metrics.flush()
                 self._components.certificates.reload_if_changed()
 
+    def _log_refused_callers(self) -> None:
+        counters = self.node.metrics.counters
+        refused = {
+            excess.value: counters[f"callers.refused.{excess.value}"] for excess in _EXCESSES
+        }
+        if refused != self._logged_refusals:
+            _LOG.info("callers refused", extra={"connections_since_start": refused})
+            self._logged_refusals = refused
+
     def _publish_notices(self) -> None:
         for notice in self._components.notices.take_notices(self.node.clock.now_ms()):
             self._components.fleet.publish(notice)
--- a/src/sesamehold/process/gateway/body_budget.py
+++ b/src/sesamehold/process/gateway/body_budget.py
@@ -13,11 +13,12 @@
 
 import attrs
 
+from sesamehold.process import receive_budget
 from sesamehold.process.gateway import settings
 
-# Fraction of the memory limit that bodies may use. The rest is for the decision state, for what
-# connections buffer and for the fragmentation of the heap.
-BODY_FRACTION = 0.4
+# Fraction of the memory that is left for callers. The rest is for what connections hold before
+# admission, for answers and for the fragmentation of the heap.
+BODY_FRACTION = 0.5
 SMALL_BODY_BYTES = 65_536
 # Every waiting body occupies the buffers of its connection.
 MAX_WAITING = 32
@@ -122,4 +123,4 @@
 
 
 def _capacity_bytes(config: settings.GatewaySettings) -> int:
-    return int(config.memory_bytes * BODY_FRACTION)
+    return int(receive_budget.spare_bytes(config.memory_bytes) * BODY_FRACTION)
--- a/src/sesamehold/process/gateway/daemon.py
+++ b/src/sesamehold/process/gateway/daemon.py
@@ -225,21 +225,26 @@
 
         def limits() -> listening.ConnectionLimits:
             widest = self._callers.limits
+            whole_head = listening.ConnectionLimits(header_size_bytes=widest.header_size_bytes)
             return listening.ConnectionLimits(
                 header_size_bytes=max(HEADER_CEILING_BYTES, widest.header_size_bytes),
                 idle_ms=widest.idle_ms + IDLE_MARGIN_MS,
                 head_ms=widest.header_ms + IDLE_MARGIN_MS,
+                head_size_bytes=whole_head.head_size_bytes,
             )
 
         serve = http_listener.HttpListener.serve
+        budget, clock = self.state.receive_budget, self.state.clock
         # Readiness is served first, so that the load balancer learns early that this host is not
         # ready.
         readiness = web.Server(self._readiness)
         metrics = web.Server(self._metrics)
         self._listeners = [
-            await serve(readiness, config.readiness_address, listening.ConnectionLimits),
-            await serve(self._callers.server(), config.ingress_address, limits),
-            await serve(metrics, config.metrics_address, listening.ConnectionLimits),
+            await serve(
+                readiness, config.readiness_address, listening.ConnectionLimits, budget, clock
+            ),
+            await serve(self._callers.server(), config.ingress_address, limits, budget, clock),
+            await serve(metrics, config.metrics_address, listening.ConnectionLimits, budget, clock),
         ]
         if self.state.stopping:
             for listener in self._listeners:
--- a/src/sesamehold/process/gateway/metrics.py
+++ b/src/sesamehold/process/gateway/metrics.py
@@ -21,6 +21,7 @@
     registry: prometheus_client.CollectorRegistry = attrs.field(factory=_new_registry)
     requests: prometheus_client.Counter = attrs.field(init=False)
     request_seconds: prometheus_client.Histogram = attrs.field(init=False)
+    refused_connections: prometheus_client.Counter = attrs.field(init=False)
     attempts: prometheus_client.Counter = attrs.field(init=False)
     held_back: prometheus_client.Counter = attrs.field(init=False)
     extra_bytes: prometheus_client.Counter = attrs.field(init=False)
@@ -53,6 +54,12 @@
             buckets=_BUCKETS_S,
             registry=registry,
         )
+        self.refused_connections = counter(
+            "sesamehold_refused_connections_total",
+            "Connections of callers that were refused because of what they sent or held.",
+            ["reason"],
+            registry=registry,
+        )
         self.attempts = counter(
             "sesamehold_attempts_total",
             "Sends to targets.",
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sesamehold.process import clock as clocks
+from sesamehold.process import receive_budget as receive_budgets
 from sesamehold.process.gateway import body_budget
 from sesamehold.process.gateway import caller_limits
 from sesamehold.process.gateway import cold_rate_limit
@@ -43,6 +44,7 @@
         caller_limits: Limits of callers in the current and in recent configurations.
         crashes: Attribution of crashes of targets to requests and prompt parts.
         body_budget: Memory for the bodies of open requests.
+        receive_budget: Memory for what connections of callers hold before admission.
         route_duration: Estimate of the time from arrival to the end of the answer for each route.
         route_latency: Latency estimate for each route.
         table: Current routing table, None until a configuration has been read.
@@ -67,6 +69,7 @@
     caller_limits: caller_limits.RecentCallerLimits
     crashes: crash_attribution.CrashAttribution
     body_budget: body_budget.BodyBudget
+    receive_budget: receive_budgets.ReceiveBudget = attrs.field(init=False)
     route_duration: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     route_latency: route_latency.RouteLatency = attrs.field(factory=route_latency.RouteLatency)
     table: routing.RoutingTable | None = None
@@ -106,6 +109,16 @@
             body_budget=body_budget.BodyBudget.from_config(config),
         )
 
+    def __attrs_post_init__(self) -> None:
+        self.receive_budget = receive_budgets.ReceiveBudget.from_memory(
+            self.config.memory_bytes, receive_budgets.GATEWAY_FRACTION, self.on_caller_excess
+        )
+
+    def on_caller_excess(self, excess: receive_budgets.Excess) -> None:
+        """Records that a connection of a caller is refused."""
+        self.metrics.refused_connections.labels(excess.value).inc()
+        self.log.write("caller.refused", reason=excess.value)
+
     def is_ready(self) -> bool:
         """Returns whether the load balancer may open new connections to this host."""
         return self.table is not None and len(self.directory) > 0 and not self.stopping
@@ -191,4 +204,5 @@
         self.config = config
         self.retry_budget.reload(config.bounds)
         self.body_budget.reload(config)
+        self.receive_budget.resize(config.memory_bytes, receive_budgets.GATEWAY_FRACTION)
         self.hosts.add_seeds([str(seed) for seed in config.seeds])
--- a/src/sesamehold/process/listening.py
+++ b/src/sesamehold/process/listening.py
@@ -54,12 +54,19 @@
         header_count: Most header lines of one request.
         idle_ms: Time after which a connection without a request is closed.
         head_ms: Time from the first to the last byte of a request's head.
+        head_size_bytes: Largest head of a request, and largest trailers; by default as many lines
+            of the largest size as one request may have.
     """
 
     header_size_bytes: int = 8_190
     header_count: int = 64
     idle_ms: int = 30_000
     head_ms: int = 30_000
+    head_size_bytes: int = attrs.field()
+
+    @head_size_bytes.default
+    def _default_head_size_bytes(self) -> int:
+        return self.header_size_bytes * (self.header_count + 1)
 
 
 @attrs.frozen
--- a/src/sesamehold/process/node.py
+++ b/src/sesamehold/process/node.py
@@ -22,6 +22,7 @@
 from sesamehold.process import ledger as ledgers
 from sesamehold.process import ledger_copies
 from sesamehold.process import metrics
+from sesamehold.process import receive_budget as receive_budgets
 from sesamehold.process import requests
 from sesamehold.process import retry_budget
 from sesamehold.process import settings
@@ -61,6 +62,7 @@
 
     Attributes:
         version: Configuration version in force, None before the first.
+        receive_budget: Memory for what connections of callers hold before admission.
         incarnation: Start time of the process; tells its ledger from those of earlier processes.
     """
 
@@ -72,6 +74,7 @@
     requests: requests.RequestRegistry
     fleet: fleet_view.FleetView
     claims: execution_claims.HostClaims
+    receive_budget: receive_budgets.ReceiveBudget
     credentials: credentials.CredentialTable = attrs.field(factory=credentials.CredentialTable)
     ledger: ledgers.Ledger = attrs.field(factory=ledgers.Ledger)
     explanations: explanations.Explanations = attrs.field(factory=explanations.Explanations)
@@ -121,6 +124,11 @@
             claims=execution_claims.HostClaims.from_config(
                 config.host_id, fleet, fleet.pause, clock.now_ms(), clock.wall_ms()
             ),
+            receive_budget=receive_budgets.ReceiveBudget.from_memory(
+                config.memory_bytes,
+                receive_budgets.DAEMON_FRACTION,
+                lambda excess: node_metrics.count(f"callers.refused.{excess.value}"),
+            ),
             incarnation=clock.wall_ms(),
         )
 
--- /dev/null
+++ b/src/sesamehold/process/receive_budget.py
@@ -0,0 +1,130 @@
+"""Memory of this process for what connections of callers hold before a request is admitted.
+
+A connection counts what it has received of heads, of bodies that are still being read, and of
+requests that wait for the one before them. When all together exceed the capacity, those that hold
+most without an admitted request lose it first, so that small requests of others still get through.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+
+import attrs
+
+# Memory of a process without callers.
+_PROCESS_BYTES = 64_000_000
+# Smallest part of the memory limit that is taken to be left for callers.
+_MIN_SPARE_FRACTION = 0.1
+# Parts of the spare memory. The gateway counts its larger bodies in a budget of their own.
+GATEWAY_FRACTION = 0.2
+DAEMON_FRACTION = 0.3
+# What is freed at once when the capacity is exceeded, and what must come before the next search if
+# it could not be freed, so that searches are rare.
+_FREED_FRACTION = 0.1
+_SEARCH_FRACTION = 0.02
+
+
+class Excess(enum.Enum):
+    """Why a connection is refused."""
+
+    MALFORMED = "malformed"
+    EMPTY_LINES = "empty-lines"
+    HEAD = "head-too-large"
+    FRAMING = "framing-too-large"
+    FRAMING_RATE = "too-much-framing-at-once"
+    MEMORY = "out-of-memory"
+
+
+@attrs.define(eq=False)
+class Holding:
+    """What one connection holds.
+
+    Attributes:
+        on_shed: Called when the connection loses what it holds; must free it.
+        size_bytes: Memory that the connection holds.
+        can_be_shed: Whether no admitted request depends on it.
+    """
+
+    on_shed: Callable[[], None]
+    size_bytes: int = 0
+    can_be_shed: bool = True
+
+
+@attrs.define(eq=False)
+class ReceiveBudget:
+    """Memory budget of one process for connections of callers.
+
+    Attributes:
+        capacity_bytes: Memory for all connections.
+        on_excess: Called for each refusal of a connection.
+        used_bytes: Memory that connections hold.
+
+    >>> budget = ReceiveBudget(capacity_bytes=1_000, on_excess=print)
+    >>> large, small = (Holding(lambda name=name: print(name)) for name in ("large", "small"))
+    >>> budget.update(large, 900)
+    >>> budget.update(small, 200)
+    large
+    >>> budget.used_bytes
+    200
+    """
+
+    capacity_bytes: int
+    on_excess: Callable[[Excess], None]
+    used_bytes: int = 0
+    _holdings: set[Holding] = attrs.field(factory=set)
+    _search_above_bytes: int = 0
+
+    @classmethod
+    def from_memory(
+        cls, memory_bytes: int, fraction: float, on_excess: Callable[[Excess], None]
+    ) -> ReceiveBudget:
+        """Returns the budget of a process without connections."""
+        return cls(int(spare_bytes(memory_bytes) * fraction), on_excess)
+
+    def resize(self, memory_bytes: int, fraction: float) -> None:
+        """Applies a changed memory limit."""
+        self.capacity_bytes = int(spare_bytes(memory_bytes) * fraction)
+
+    def update(self, holding: Holding, size_bytes: int, *, can_be_shed: bool = True) -> None:
+        """Sets what a connection holds, and sheds connections if it is too much for the process."""
+        self.used_bytes += size_bytes - holding.size_bytes
+        holding.size_bytes = size_bytes
+        holding.can_be_shed = can_be_shed
+        if size_bytes:
+            self._holdings.add(holding)
+        else:
+            self._holdings.discard(holding)
+        if self.used_bytes <= self.capacity_bytes:
+            self._search_above_bytes = 0
+        elif self.used_bytes > self._search_above_bytes:
+            self._shed()
+
+    def _shed(self) -> None:
+        wanted_bytes = self.capacity_bytes * (1 - _FREED_FRACTION)
+        chosen = []
+        left_bytes = self.used_bytes
+        for holding in sorted(self._holdings, key=lambda item: -item.size_bytes):
+            if left_bytes <= wanted_bytes:
+                break
+            if holding.can_be_shed:
+                left_bytes -= holding.size_bytes
+                chosen.append(holding)
+        for holding in chosen:
+            # Counted as freed first, as a connection that is shed updates its holding.
+            self.used_bytes -= holding.size_bytes
+            holding.size_bytes = 0
+            self._holdings.discard(holding)
+        step_bytes = int(self.capacity_bytes * _SEARCH_FRACTION)
+        self._search_above_bytes = max(self.capacity_bytes, self.used_bytes + step_bytes)
+        for holding in chosen:
+            holding.on_shed()
+
+
+def spare_bytes(memory_bytes: int) -> int:
+    """Returns what a memory limit leaves for callers.
+
+    >>> spare_bytes(300_000_000), spare_bytes(50_000_000)
+    (236000000, 5000000)
+    """
+    return max(memory_bytes - _PROCESS_BYTES, int(memory_bytes * _MIN_SPARE_FRACTION))
--- a/src/sesamehold/request/errors.py
+++ b/src/sesamehold/request/errors.py
@@ -90,6 +90,24 @@
     status: ClassVar[int] = 413
 
 
+@attrs.frozen(kw_only=True)
+class HeadTooLarge(Failure):
+    """The request line and headers exceed their limits."""
+
+    kind: ClassVar[str] = "head-too-large"
+    title: ClassVar[str] = "Head too large"
+    status: ClassVar[int] = 431
+
+
+@attrs.frozen(kw_only=True)
+class Overloaded(Failure):
+    """The host has no memory or processor time to receive the request."""
+
+    kind: ClassVar[str] = "overloaded"
+    title: ClassVar[str] = "Host is overloaded"
+    status: ClassVar[int] = 503
+
+
 @attrs.frozen(kw_only=True)
 class BodyTimeout(Failure):
     """No part of the body arrived within the idle timeout."""
--- a/testing/caller_host.py
+++ b/testing/caller_host.py
@@ -135,6 +135,8 @@
             caller_http.CallerApi(node, services).application(),
             "127.0.0.1:0",
             node.config.limits,
+            node.receive_budget,
+            node.clock,
             None,
         )
         try:
