End shortages of idle services, and admit stages that were begun

Cause, found by reading: a service for which nothing waited stayed short until its next step, with the counts of accounts of then. After a change of leader the stages that were done counted as work to come, so that requests with results could be refused for the queue.

Change: a shortage ends when nothing waits; results are adopted before the estimate, and a request with results is refused only if its own stages take too long. Two tests that name these faults.

--- a/src/sesamehold/process/gateway/account_shares.py
+++ b/src/sesamehold/process/gateway/account_shares.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -85,25 +86,23 @@
     account_count: int
 
 
-@attrs.define(eq=False)
-class _ServiceShares:
-    """Shares of the accounts in one service, by urgency; empty without a shortage."""
-
-    is_short: bool = False
-    by_urgency: dict[int, AccountShares] = attrs.field(factory=dict)
-
-
 @attrs.define(eq=False)
 class ShareTable:
     """Shares of the accounts in all services that are short of capacity."""
 
-    _services: dict[str, _ServiceShares] = attrs.field(factory=dict)
+    # By service and urgency; only services that are short of capacity are in it.
+    _short: dict[str, dict[int, AccountShares]] = attrs.field(factory=dict)
     _changes: list[ShortageChange] = attrs.field(factory=list)
 
     @property
     def is_any_short(self) -> bool:
         """Returns whether any service is short of capacity."""
-        return any(shares.is_short for shares in self._services.values())
+        return bool(self._short)
+
+    def end_idle(self, waiting_services: Collection[str]) -> None:
+        """Ends the shortages of services for which nothing waits."""
+        for service in [service for service in self._short if service not in waiting_services]:
+            self._set_short(service, 0.0, ())
 
     def order(
         self,
@@ -126,8 +125,12 @@
             now_ms: Monotonic time.
         """
         works_ms = [pool.work_time_ms(len(item.step.pieces)) for item in queue]
-        shares = self._update(service, sum(works_ms) / max(1, target_count), queue)
-        if not shares.is_short:
+        drain_ms = sum(works_ms) / max(1, target_count)
+        limit_ms = SHORTAGE_MS * (SHORTAGE_END_FRACTION if service in self._short else 1.0)
+        if (service in self._short) is not (drain_ms >= limit_ms):
+            self._set_short(service, drain_ms, queue)
+        shares = self._short.get(service)
+        if shares is None:
             return queue
         by_urgency: dict[int, list[int]] = {}
         for index, item in enumerate(queue):
@@ -137,7 +140,7 @@
             waiting = [
                 (queue[index].step.job.request.account, works_ms[index]) for index in indexes
             ]
-            at_urgency = shares.by_urgency.setdefault(
+            at_urgency = shares.setdefault(
                 urgency, AccountShares(pool.call_time_ms(pool.batch_size))
             )
             rounds = at_urgency.rounds(waiting)
@@ -150,23 +153,24 @@
 
     def record(self, service: str, urgency: int, account: str, work_ms: float) -> None:
         """Records work that is done for an account; nothing is kept without a shortage."""
-        shares = self._services.get(service)
-        if shares is not None and urgency in shares.by_urgency:
-            shares.by_urgency[urgency].record(account, work_ms)
+        shares = self._short.get(service, {})
+        if urgency in shares:
+            shares[urgency].record(account, work_ms)
 
     def take_changes(self) -> list[ShortageChange]:
         """Returns the shortages that have begun or ended, and clears the list."""
         changes, self._changes = self._changes, []
         return changes
 
-    def _update(
+    def _set_short(
         self, service: str, drain_ms: float, queue: Iterable[stage_queue.QueuedStep]
-    ) -> _ServiceShares:
-        shares = self._services.setdefault(service, _ServiceShares())
-        limit_ms = SHORTAGE_MS * (SHORTAGE_END_FRACTION if shares.is_short else 1.0)
-        if shares.is_short is not (drain_ms >= limit_ms):
-            shares.is_short = not shares.is_short
-            shares.by_urgency.clear()
-            accounts = {item.step.job.request.account for item in queue}
-            self._changes.append(ShortageChange(service, shares.is_short, drain_ms, len(accounts)))
-        return shares
+    ) -> None:
+        """Begins or ends the shortage of a service."""
+        if service in self._short:
+            del self._short[service]
+        else:
+            self._short[service] = {}
+        accounts = {item.step.job.request.account for item in queue}
+        self._changes.append(
+            ShortageChange(service, service in self._short, drain_ms, len(accounts))
+        )
--- a/src/sesamehold/process/gateway/stage_admission.py
+++ b/src/sesamehold/process/gateway/stage_admission.py
@@ -125,7 +125,10 @@
         return hopeless
 
     def admit(self, item: stage_queue.WaitingJob, now_ms: int) -> ports.StageFailure | None:
-        """Counts the work of a new job; returns a failure if it cannot end before its deadline."""
+        """Counts the work of a new job; returns a failure if it cannot end before its deadline.
+
+        One that has results of a previous leader is refused only if its own stages take too long.
+        """
         job = item.job
         account = job.request.account
         times_ms = {
@@ -134,6 +137,7 @@
         ahead_ms = {
             service: self._backlogs[service].ahead_ms(item.rank, account, time_ms)
             for service, time_ms in times_ms.items()
+            if not job.started
         }
         if now_ms + self._end_ms(item, ahead_ms) > job.deadline_at_ms:
             return ports.StageFailure("overloaded", self.retry_after_ms(job, now_ms))
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -106,15 +106,16 @@
         for work in request.stages:
             if work.piece_count and self.pool_for(work.service) is None:
                 return ports.StageFailure("unknown-stage-service", RETRY_AFTER_MS)
+        self._adopt_results(job, now_ms)
         self._update_admission(now_ms)
         failure = self._admission.admit(self._queue.as_waiting(job, now_ms), now_ms)
         if failure is not None:
+            self._schedule_free(job.held_results())
             return failure
         if self._last_submit_ms is None or now_ms - self._last_submit_ms > TAKEOVER_CONTENTION_MS:
             # Another host may have been the leader until now, and its calls may still run.
             self._contended_until_ms = now_ms + TAKEOVER_CONTENTION_MS
         self._last_submit_ms = now_ms
-        self._adopt_results(job, now_ms)
         self._queue.add(job)
         return None
 
@@ -152,7 +153,9 @@
         for job in self._queue.jobs_that_need(self._services_without_target(now_ms)):
             finished += self._fail(job, "no-stage-target")
         calls: list[stage_workers.Call] = []
-        for service in self._queue.services():
+        services = self._queue.services()
+        self._shares.end_idle(services)
+        for service in services:
             calls += self._plan_service(service, now_ms)
         return calls, finished
 
--- a/testing/process/gateway/test_stage_admission.py
+++ b/testing/process/gateway/test_stage_admission.py
@@ -181,6 +181,30 @@
     assert [change.is_short for change in changes] == ([True] if large_count > 1 else [])
 
 
+def test_shortage_ends_when_nothing_waits() -> None:
+    """Guards against counts of an old shortage that decide about a later one."""
+    scheduler = _scheduler()
+    for number in range(20):
+        scheduler.submit(_request(f"w{number}", account="large", deadline_ms=20_000), 0)
+    scheduler.plan(0)
+    for number in range(20):
+        scheduler.release(f"w{number}")
+    scheduler.plan(50)
+    changes = scheduler.take_shortage_changes()
+    assert [(change.service, change.is_short) for change in changes] == [("a", True), ("a", False)]
+
+
+def test_request_that_has_results_is_not_refused_by_the_next_leader() -> None:
+    """Guards against refusals, after a change of leader, of requests that are nearly done."""
+    scheduler = _scheduler()
+    for number in range(60):
+        scheduler.submit(_request(f"w{number}", deadline_ms=30_000), 0)
+    changes: dict[str, Any] = {"stages": CHAIN, "deadline_ms": 2_000}
+    assert scheduler.submit(_request("new", **changes), 10) is not None
+    pieces = tuple(ports.CompletedPiece(0, piece, f"a0/{piece}", "a0", 1) for piece in range(4))
+    assert scheduler.submit(_request("begun", completed_pieces=pieces, **changes), 10) is None
+
+
 def test_new_leader_starts_with_equal_shares() -> None:
     """Guards against a change of leader in a burst after which one account is shut out."""
     scheduler = _scheduler()
