--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -69,7 +69,7 @@
         rank = job.request.urgency + LATER_ROUND_LOSS * self.round / (1 + self.round)
         if now_ms > self.latest_start_ms:
             if now_ms > self.last_start_ms - LAST_CHANCE_MS:
-                return job.request.urgency, -math.inf, self.last_start_ms
+                return rank, -math.inf, self.last_start_ms
             return rank + LATE_URGENCY_LOSS, job.open_count, at_ms
         return rank, at_ms - (STARTED_SLACK_MS if job.started else 0), 0.0
 
