Cut answers that are not read when memory is short, and read bodies in larger parts

An answer that its caller does not read was bounded by connection only: 128 such callers held 113 MB of 160 at the gateway, more callers would hold more. One that could not go on for 2 s now counts in the budget for connections, and is cut when the budget is used up: after those that hold over 64 KiB of what was received, before smaller ones, so small requests still get through.

Bodies of known length have no framing: their parts are 128 KiB, and 256 KiB are buffered.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -29,8 +29,10 @@
 
 # Largest number of bytes that the parser gets at once.
 PART_BYTES = 16_384
+# The same within a body of known length, which has no framing.
+BODY_PART_BYTES = 131_072
 # A body that is not read yet waits in a buffer of twice this size.
-READ_BUFFER_BYTES = 65_536
+READ_BUFFER_BYTES = 131_072
 # Requests that wait for the one before them, after which the socket is not read.
 MAX_WAITING_REQUESTS = 4
 # Bytes that are read and dropped after a refusal, and the time for them. The kernel would reset a
@@ -38,6 +40,10 @@
 LINGER_BYTES = 1_048_576
 LINGER_S = 2.0
 OVERLOADED_RETRY_MS = 1_000
+# An answer of which a caller reads nothing, or too little, for this long counts as memory that the
+# caller holds. It is there twice, as the handler keeps it until it is written.
+UNREAD_S = 2.0
+ANSWER_COPIES = 2
 # Objects of one connection, without what it has received.
 CONNECTION_BYTES = 8_192
 # The parser holds each line of a head as bytes and as text, whose characters may take four bytes.
@@ -95,12 +101,14 @@
         "_is_draining",
         "_is_paced",
         "_is_refused",
+        "_is_unread",
         "_last_request_body",
         "_limits",
         "_linger",
         "_meter",
         "_socket",
         "_unparsed",
+        "_unread_timer",
         "_waiting_heads",
     )
 
@@ -131,12 +139,14 @@
         self._holding = receive_budget.Holding(self._shed)
         self._meter = request_meter.RequestMeter()
         self._unparsed = b""
+        self._unread_timer: asyncio.TimerHandle | None = None
         self._waiting_heads: collections.deque[int] = collections.deque()
         self._body_left_bytes: int | None = None
         self._held_body_bytes = 0
         self._is_draining = False
         self._is_refused = False
         self._is_paced = False
+        self._is_unread = False
         self._discarded_bytes = 0
         self._linger: asyncio.Future[None] | None = None
         self._head_begun_s: float | None = None
@@ -212,9 +222,37 @@
         """Ends the request in progress."""
         super().connection_lost(exc)
         self._socket = None
+        self._cancel_unread_timer()
         self._unparsed = b""
         self._budget.update(self._holding, 0)
 
+    def pause_writing(self) -> None:
+        """Notes that the caller does not read as fast as its answer comes."""
+        super().pause_writing()
+        self._unread_timer = self._loop.call_later(UNREAD_S, self._count_unread_answer)
+
+    def resume_writing(self) -> None:
+        """Notes that the caller has read what waited."""
+        super().resume_writing()
+        self._cancel_unread_timer()
+        self._update_holding()
+
+    def _count_unread_answer(self) -> None:
+        self._is_unread = True
+        self._update_holding()
+
+    def _cancel_unread_timer(self) -> None:
+        self._is_unread = False
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
+    @property
+    def _unread_bytes(self) -> int:
+        if self._socket is None or not self._is_unread:
+            return 0
+        return ANSWER_COPIES * self._socket.get_write_buffer_size()
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, or keeps them until the parser has room.
 
@@ -254,7 +292,7 @@
         must not come with a sound request before it.
         """
         if self._is_in_body and self._body_left_bytes is not None:
-            return min(PART_BYTES, max(self._body_left_bytes, 1))
+            return min(BODY_PART_BYTES, max(self._body_left_bytes, 1))
         end = _BODY_END if self._is_in_body else _HEAD_END
         # The end may have begun in the part before.
         found = data.find(end, max(position - len(end) + 1, 0), position + PART_BYTES)
@@ -268,9 +306,9 @@
         body = self._last_request_body if self._is_in_body else None
         body_bytes = 0 if body is None else body.total_bytes
         super().data_received(part)
-        limit_bytes = self._limits().head_size_bytes
         if self._request_count != known_count:
             return self._on_message(len(part))
+        limit_bytes = self._limits().head_size_bytes
         if body is not None:
             new_bytes = body.total_bytes - body_bytes
             if self._body_left_bytes is not None:
@@ -341,7 +379,13 @@
 
     def _shed(self) -> None:
         """Gives up what is held without an admitted request, as the process lacks memory."""
-        if self._is_refused or self._socket is None:
+        if self._socket is None:
+            return
+        if self._unread_bytes:
+            self._budget.on_excess(receive_budget.Excess.UNREAD_ANSWER)
+            self._socket.abort()
+            return
+        if self._is_refused:
             return
         if self.phase is ConnectionPhase.IDLE:
             self._budget.on_excess(receive_budget.Excess.MEMORY)
@@ -430,11 +474,16 @@
             head_bytes += self._meter.framing_since_body_bytes
             held_bytes += self._last_request_body._size
         held_bytes += HEAD_COPIES * head_bytes
-        can_be_shed = not self._is_refused and (
-            held_bytes > 0 or self.phase is ConnectionPhase.IDLE
-        )
-        size_bytes = held_bytes + CONNECTION_BYTES
-        self._budget.update(self._holding, size_bytes, can_be_shed=can_be_shed)
+        size_bytes = CONNECTION_BYTES + held_bytes + self._unread_bytes
+        self._budget.update(self._holding, size_bytes, self._use(held_bytes))
+
+    def _use(self, held_bytes: int) -> receive_budget.Use:
+        if self._unread_bytes:
+            return receive_budget.Use.UNREAD_ANSWER
+        is_received = held_bytes > 0 or self.phase is ConnectionPhase.IDLE
+        if is_received and not self._is_refused:
+            return receive_budget.Use.RECEIVED
+        return receive_budget.Use.ADMITTED
 
     # ---- times ---------------------------------------------------------------------------------
 
--- a/src/sesamehold/process/receive_budget.py
+++ b/src/sesamehold/process/receive_budget.py
@@ -1,8 +1,9 @@
 """Memory of this process for what connections of callers hold before a request is admitted.
 
 A connection counts what it has received of heads, of bodies that are still being read, and of
-requests that wait for the one before them. When all together exceed the capacity, those that hold
-most without an admitted request lose it first, so that small requests of others still get through.
+requests that wait for the one before them, and an answer that its caller has not read for a while.
+When all together exceed the capacity, those that hold most without an admitted request lose it
+first, then unread answers, so that small requests of others still get through.
 """
 
 from __future__ import annotations
@@ -19,12 +20,22 @@
 # Parts of the spare memory. The gateway counts its larger bodies in a budget of their own.
 GATEWAY_FRACTION = 0.2
 DAEMON_FRACTION = 0.3
+# Connections that hold less lose it last, after answers that are not read.
+SMALL_BYTES = 65_536
 # What is freed at once when the capacity is exceeded, and what must come before the next search if
 # it could not be freed, so that searches are rare.
 _FREED_FRACTION = 0.1
 _SEARCH_FRACTION = 0.02
 
 
+class Use(enum.Enum):
+    """What a connection holds memory for, which decides when it may lose it."""
+
+    RECEIVED = "received"
+    ADMITTED = "admitted"
+    UNREAD_ANSWER = "unread-answer"
+
+
 class Excess(enum.Enum):
     """Why a connection is refused."""
 
@@ -34,6 +45,7 @@
     FRAMING = "framing-too-large"
     FRAMING_RATE = "too-much-framing-at-once"
     MEMORY = "out-of-memory"
+    UNREAD_ANSWER = "answer-not-read"
 
 
 @attrs.define(eq=False)
@@ -43,12 +55,19 @@
     Attributes:
         on_shed: Called when the connection loses what it holds; must free it.
         size_bytes: Memory that the connection holds.
-        can_be_shed: Whether no admitted request depends on it.
+        use: What it holds memory for.
     """
 
     on_shed: Callable[[], None]
     size_bytes: int = 0
-    can_be_shed: bool = True
+    use: Use = Use.RECEIVED
+
+    @property
+    def shed_order(self) -> tuple[int, int]:
+        """Returns a key that sorts connections by when they lose what they hold."""
+        if self.use is Use.UNREAD_ANSWER:
+            return 1, -self.size_bytes
+        return 2 * (self.size_bytes < SMALL_BYTES), -self.size_bytes
 
 
 @attrs.define(eq=False)
@@ -86,11 +105,11 @@
         """Applies a changed memory limit."""
         self.capacity_bytes = int(spare_bytes(memory_bytes) * fraction)
 
-    def update(self, holding: Holding, size_bytes: int, *, can_be_shed: bool = True) -> None:
+    def update(self, holding: Holding, size_bytes: int, use: Use = Use.RECEIVED) -> None:
         """Sets what a connection holds, and sheds connections if it is too much for the process."""
         self.used_bytes += size_bytes - holding.size_bytes
         holding.size_bytes = size_bytes
-        holding.can_be_shed = can_be_shed
+        holding.use = use
         if size_bytes:
             self._holdings.add(holding)
         else:
@@ -104,10 +123,10 @@
         wanted_bytes = self.capacity_bytes * (1 - _FREED_FRACTION)
         chosen = []
         left_bytes = self.used_bytes
-        for holding in sorted(self._holdings, key=lambda item: -item.size_bytes):
+        for holding in sorted(self._holdings, key=lambda item: item.shed_order):
             if left_bytes <= wanted_bytes:
                 break
-            if holding.can_be_shed:
+            if holding.use is not Use.ADMITTED:
                 left_bytes -= holding.size_bytes
                 chosen.append(holding)
         for holding in chosen:
--- a/testing/platform/test_refused_callers.py
+++ b/testing/platform/test_refused_callers.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import re
+import socket
 
 import platform_stand_in as stand_in
 from platform_stand_in import Exchange
 import pytest
 
+from sesamehold.connection import caller_connection
+
 BODY_BYTES = 2_000
 LIMITS = {"headerBytes": 1_000, "bodyBytes": BODY_BYTES, "headerMs": 2_000, "idleMs": 2_000}
 KEPT = stand_in.request("/svc/x", body=b"").replace(b"Connection: close\r\n", b"")
@@ -129,3 +132,43 @@
 
 def _address(site: stand_in.GatewayEnvironment) -> tuple[str, int]:
     return site.ingress.ip, site.ingress.port
+
+
+def test_unread_answers_are_cut_when_memory_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against callers that fill the memory with answers that they do not read."""
+    monkeypatch.setattr(caller_connection, "UNREAD_S", 0.2)
+    large = b"a" * 250_000
+
+    async def answer(exchange: Exchange) -> None:
+        exchange.send(200, b"answer" if exchange.target == "/svc/small" else large)
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", "idempotent", timeoutMs=20_000)]
+        site.add_worker("i-0", "svc", answer, slots=64)
+        site.publish(limits=LIMITS)
+        async with site:
+            gateway = await site.start_gateway()
+            budget = gateway.state.receive_budget
+            budget.capacity_bytes = 1_000_000
+            callers = [await _open_without_reading(site) for _ in range(16)]
+            for sock in callers:
+                sock.send(KEPT * 30)
+            refused = gateway.state.metrics.refused_connections.labels("answer-not-read")
+            async with asyncio.timeout(20):
+                while not refused._value.get():
+                    await asyncio.sleep(0.05)
+            answers = await site.send(stand_in.request("/svc/small"))
+            assert answers.startswith(b"HTTP/1.1 200")
+            for sock in callers:
+                sock.close()
+
+    stand_in.run(main)
+
+
+async def _open_without_reading(site: stand_in.GatewayEnvironment) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, _address(site))
+    return sock
