--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -409,8 +409,11 @@
         self._meter = request_meter.RequestMeter()
         self._held_body_bytes = 0
         self._head_begun_s = None
-        if self._is_in_body and self._last_request_body._buffer:
-            self._last_request_body.read_nowait()
+        body = self._last_request_body
+        if self._is_in_body and body._size > 1:
+            # A handler that has been woken meets the error only when it reads again, and waits for
+            # ever if nothing is left for it now.
+            body.read_nowait(body._size - 1)
 
     def _answer_error(self, status: int, error: Exception) -> None:
         info = web_protocol._ErrInfo(status, error, "")
@@ -480,7 +483,9 @@
     def _use(self, held_bytes: int) -> receive_budget.Use:
         if self._unread_bytes:
             return receive_budget.Use.UNREAD_ANSWER
-        is_received = held_bytes > 0 or self.phase is ConnectionPhase.IDLE
+        # The phase is that of the answer until the base class waits for the next request.
+        is_between_requests = self._current_request is None and not self._messages
+        is_received = held_bytes > 0 or is_between_requests
         if is_received and not self._is_refused:
             return receive_budget.Use.RECEIVED
         return receive_budget.Use.ADMITTED
--- a/src/sesamehold/connection/gateway/fleet.py
+++ b/src/sesamehold/connection/gateway/fleet.py
@@ -26,8 +26,8 @@
 
 # A host that was lost, or that cannot run stages yet, is not selected again for this long.
 FAILED_HOST_BACKOFF_MS = 2_000
-# Number of hosts that are tried for the stages of one request before it is refused.
-MAX_STAGE_HOSTS = 4
+# Number of times that the stages of one request are given to a host before it is refused.
+MAX_STAGE_RUNS = 5
 # A gossip reply is reused for other requesters within a quarter of a heartbeat interval.
 REPLY_REUSE_MS = hosts.HEARTBEAT_INTERVAL_MS // 4
 # A host hands its stages over once another host has been the leader for this long. Gossip about a
@@ -79,25 +79,26 @@
             now_ms = self._state.clock.now_ms()
             chosen = self._state.hosts.next_heartbeat(self._watcher.horizons(), now_ms)
             self._endpoint.send(chosen, self._gossip_message(now_ms, wants_answer=True))
-            self._send_loads(now_ms)
+            self._share_load(now_ms)
             self._check_leader(now_ms)
             self._announce_blame(now_ms)
             spread = 0.75 + 0.5 * self._state.rng.random()
             await asyncio.sleep(self._state.hosts.heartbeat_interval_ms * spread / _MS_PER_S)
 
-    def _send_loads(self, now_ms: int) -> None:
-        """Sends reports on work at engines to a few hosts.
+    def _share_load(self, now_ms: int) -> None:
+        """Sends reports on work and slowdowns of engines to a few hosts.
 
         They have datagrams of their own, so that they take no room from heartbeats.
         """
+        slowdowns = self._state.engine_slowdowns
+        slowdowns.update(self._state.engine_keys(), self._state.host_count(), now_ms)
         if not self._state.shares_load():
             return
         alive = self._state.hosts.alive(now_ms)
         chosen = self._state.rng.sample(alive, min(hosts.GOSSIP_FANOUT, len(alive)))
-        self._state.engine_slowdowns.update(self._state.host_count(), now_ms)
         loads = tuple(self._state.engine_load.reports(now_ms))
-        slowdowns = self._state.engine_slowdowns.reports()
-        self._endpoint.send(chosen, gossip.GossipMessage((), loads=loads, slowdowns=slowdowns))
+        message = gossip.GossipMessage((), loads=loads, slowdowns=slowdowns.reports())
+        self._endpoint.send(chosen, message)
 
     def leave(self) -> None:
         """Announces the graceful shutdown of this host and hands its stages over."""
@@ -148,7 +149,8 @@
             self._state.log.write("host.appeared", peer=address)
         self._state.crashes.merge(message.crash_reports, now_ms)
         self._state.restrictions.merge(message.statements, now_ms)
-        self._state.engine_load.merge(message.loads, now_ms)
+        if message.loads:
+            self._state.engine_load.merge(message.loads, now_ms)
         self._state.engine_slowdowns.merge(message.slowdowns)
         if message.wants_answer:
             self._endpoint.send([source], self._reply(now_ms))
@@ -162,10 +164,15 @@
     async def run(
         self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
     ) -> Result[ports.StageResults, ports.StageFailure]:
-        """Runs the stages of a request on the leader; tries another host if it fails."""
+        """Runs the stages of a request on the leader; tries another host if it fails.
+
+        A host whose connection was reset gets them once more: it may still be the leader, and
+        another one would hand them over again.
+        """
         started_ms = self._state.clock.now_ms()
         own = self._state.hosts.local.address
         made = request.completed_pieces
+        reset_by: set[str] = set()
 
         def on_progress(known: tuple[ports.CompletedPiece, ...]) -> None:
             nonlocal made
@@ -175,7 +182,7 @@
 
         outcome: Result[ports.StageResults, ports.StageFailure]
         outcome = Error(ports.StageFailure(stage_link.STAGE_HOST_LOST, _MS_PER_S))
-        for _ in range(MAX_STAGE_HOSTS):
+        for _ in range(MAX_STAGE_RUNS):
             now_ms = self._state.clock.now_ms()
             spent_ms = now_ms - started_ms
             left = attrs.evolve(
@@ -196,7 +203,10 @@
             if owner == own and outcome.error.kind != ports.HANDED_OVER:
                 return outcome
             now_ms = self._state.clock.now_ms()
-            self._state.hosts.avoid(owner, now_ms + FAILED_HOST_BACKOFF_MS)
+            if outcome.error.kind == stage_link.STAGE_LINK_RESET and owner not in reset_by:
+                reset_by.add(owner)
+            else:
+                self._state.hosts.avoid(owner, now_ms + FAILED_HOST_BACKOFF_MS)
             self._state.log.write(
                 "stages.moved",
                 request=request.request_id,
@@ -280,5 +290,10 @@
 
 # Failures after which the stages are tried on another host.
 _FAILOVER_KINDS = frozenset(
-    {stage_link.STAGE_HOST_LOST, "unknown-stage-service", ports.HANDED_OVER}
+    {
+        stage_link.STAGE_HOST_LOST,
+        stage_link.STAGE_LINK_RESET,
+        "unknown-stage-service",
+        ports.HANDED_OVER,
+    }
 )
--- a/src/sesamehold/connection/gateway/framing_budget.py
+++ b/src/sesamehold/connection/gateway/framing_budget.py
@@ -14,6 +14,8 @@
 # Framing of one target that is read at once, and what is read of it in a second after that.
 BURST_BYTES = 65_536
 RATE_BYTES_PER_S = 65_536
+# Framing beyond this makes no pause longer.
+MAX_DEBT_BYTES = 4 * RATE_BYTES_PER_S
 _MS_PER_S = 1_000
 
 
@@ -37,7 +39,8 @@
         now_ms = self._clock.now_ms()
         gained_bytes = (now_ms - self._updated_ms) * RATE_BYTES_PER_S / _MS_PER_S
         self._updated_ms = now_ms
-        self._available_bytes = min(BURST_BYTES, self._available_bytes + gained_bytes) - size_bytes
+        available_bytes = min(BURST_BYTES, self._available_bytes + gained_bytes) - size_bytes
+        self._available_bytes = max(available_bytes, -MAX_DEBT_BYTES)
         if self._available_bytes >= 0:
             return 0
         return int(-self._available_bytes * _MS_PER_S / RATE_BYTES_PER_S) + 1
--- a/src/sesamehold/connection/gateway/gossip.py
+++ b/src/sesamehold/connection/gateway/gossip.py
@@ -23,9 +23,6 @@
 # Fits the minimum MTU of IPv6 (1,280 bytes) including the IP and UDP headers.
 MAX_SIZE_BYTES = 1_200
 MAX_TARGET_ID_LENGTH = 200
-# More work than one host can have at one engine.
-MAX_ENGINE_REQUESTS = 65_535
-MAX_ENGINE_TOKENS = 2**30
 # Weights of averages are sent in thousandths of an observation.
 WEIGHT_FACTOR = 1_000
 
@@ -169,8 +166,8 @@
         _is_valid_address(item.address)
         and len(item.targets) == len(item.requests) == len(item.tokens)
         and len(item.targets) <= engine_load.MAX_ENGINES_PER_REPORT
-        and all(count <= MAX_ENGINE_REQUESTS for count in item.requests)
-        and all(count <= MAX_ENGINE_TOKENS for count in item.tokens)
+        and all(count <= engine_load.MAX_REQUESTS for count in item.requests)
+        and all(count <= engine_load.MAX_TOKENS for count in item.tokens)
     )
 
 
--- a/src/sesamehold/connection/gateway/peer_service.py
+++ b/src/sesamehold/connection/gateway/peer_service.py
@@ -108,9 +108,9 @@
     def _release(self, request_id: str) -> None:
         self._request_ids.discard(request_id)
         task = self._tasks.pop(request_id, None)
-        if task is not None:
-            task.cancel()
-        self._stages.release(request_id)
+        # A task that is cancelled releases the request itself.
+        if task is None or not task.cancel():
+            self._stages.release(request_id)
 
 
 def replica_reply(
--- a/src/sesamehold/connection/gateway/stage_link.py
+++ b/src/sesamehold/connection/gateway/stage_link.py
@@ -23,6 +23,8 @@
 REPORT_TIMEOUT_S = 0.6
 
 STAGE_HOST_LOST = "stage-host-lost"
+# The connection ended although the host was not silent; the host may still run.
+STAGE_LINK_RESET = "stage-link-reset"
 _CONNECTION_ERRORS = (
     grpc_exceptions.GRPCError,
     grpc_exceptions.StreamTerminatedError,
@@ -50,11 +52,17 @@
     _listeners: dict[str, ports.ProgressListener] = attrs.field(factory=dict)
     _task: asyncio.Task[None] | None = None
     _last_report_s: float = 0.0
+    _is_connected: bool = False
+    _is_silent: bool = False
 
     async def run(
         self, request: ports.StageRequest, listener: ports.ProgressListener | None = None
     ) -> _Outcome:
-        """Runs all stages of a request; fails with `STAGE_HOST_LOST` if the connection is lost."""
+        """Runs all stages of a request.
+
+        Fails with `STAGE_HOST_LOST` if the host cannot be reached or is silent, and with
+        `STAGE_LINK_RESET` if the connection ends otherwise.
+        """
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[_Outcome] = loop.create_future()
         if not self._waiters:
@@ -93,6 +101,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await channel.__connect__()
+            self._is_connected = True
             self._last_report_s = asyncio.get_running_loop().time()
             async with gateway_grpc.GatewayStub(channel).RunStages.open() as stream:
                 await stream.send_request()
@@ -144,9 +153,12 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
             if self._waiters and loop.time() - self._last_report_s > REPORT_TIMEOUT_S:
+                self._is_silent = True
                 return
 
     def _fail_waiters(self) -> None:
+        is_reset = self._is_connected and not self._is_silent
+        kind = STAGE_LINK_RESET if is_reset else STAGE_HOST_LOST
         for waiter in list(self._waiters.values()):
             if not waiter.done():
-                waiter.set_result(Error(ports.StageFailure(STAGE_HOST_LOST, 0)))
+                waiter.set_result(Error(ports.StageFailure(kind, 0)))
--- a/src/sesamehold/platform/headers.py
+++ b/src/sesamehold/platform/headers.py
@@ -93,6 +93,8 @@
 _MAX_LOGGED_LOAD_LENGTH = 40
 # The pieces of a request are held and planned one by one on the loop that serves all requests.
 MAX_PIECES_PER_STAGE = 4_096
+# Hosts add up the tokens of their requests and tell each other the sums.
+MAX_TOKENS = 16_777_216
 
 
 @attrs.frozen
@@ -233,9 +235,18 @@
     for entry in values.get(names.PROMPT_PREFIX, b"").split(b","):
         part_id, separator, tokens = entry.strip().partition(b":")
         if separator:
-            parts.append(messages.PromptPart(part_id.decode("latin-1"), int(tokens)))
+            parts.append(messages.PromptPart(part_id.decode("latin-1"), _parse_tokens(tokens)))
     model = values.get(names.MODEL, b"").decode("latin-1")
-    return messages.Prompt(model, int(prompt_tokens), int(output_tokens or 0), tuple(parts))
+    return messages.Prompt(
+        model, _parse_tokens(prompt_tokens), _parse_tokens(output_tokens or b"0"), tuple(parts)
+    )
+
+
+def _parse_tokens(text: bytes) -> int:
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"a prompt has from 0 to {MAX_TOKENS} tokens")
+    return count
 
 
 def _is_encoded(headers: messages.HeaderPairs, values: dict[bytes, bytes]) -> bool:
--- a/src/sesamehold/process/gateway/engine_load.py
+++ b/src/sesamehold/process/gateway/engine_load.py
@@ -21,6 +21,9 @@
 MAX_ENGINES_PER_REPORT = 32
 # Hosts whose reports are kept.
 MAX_KNOWN_HOSTS = 1_024
+# Largest counts in a report, more than one host can have at one engine.
+MAX_REQUESTS = 65_535
+MAX_TOKENS = 2**30
 # Size of all reports in one datagram, of one report without engines, and of an engine in it.
 REPORTS_CAPACITY_BYTES = 1_100
 REPORT_SIZE_BYTES = 48
@@ -157,7 +160,7 @@
             self._own.items(), key=lambda item: (item[1].tokens, item[1].requests), reverse=True
         )
         work = {
-            key: EngineWork(own.requests, own.tokens)
+            key: EngineWork(min(own.requests, MAX_REQUESTS), min(own.tokens, MAX_TOKENS))
             for key, own in busiest[:MAX_ENGINES_PER_REPORT]
         }
         return HostLoad(self._address, self._incarnation, self._sequence, 0, work)
--- a/src/sesamehold/process/gateway/engine_slowdowns.py
+++ b/src/sesamehold/process/gateway/engine_slowdowns.py
@@ -19,16 +19,15 @@
 # Time after which an observation has half of its weight.
 HALF_LIFE_MS = 10_000
 # Observations that the assumption of a usual engine stands for.
-PRIOR_WEIGHT = 6.0
+PRIOR_WEIGHT = 8.0
 MIN_RATIO = 0.25
-MAX_RATIO = 4.0
+MAX_RATIO = 3.0
 # An engine is slow above the first multiple of the median engine, and until it is below the second.
 SLOW_ABOVE = 1.5
 USUAL_BELOW = 1.25
 # Engines in one datagram; of more, a part is sent each time.
 MAX_REPORTED = 48
-# Averages with less weight are dropped.
-MIN_WEIGHT = 0.001
+# Largest weight of an average of one host.
 MAX_WEIGHT = 1_000.0
 
 
@@ -61,7 +60,7 @@
     >>> for key in (1, 2, 3):
     ...     for _ in range(50):
     ...         slowdowns.record(key, 2.0 if key == 3 else 1.0)
-    >>> slowdowns.update(host_count=1, now_ms=0)
+    >>> slowdowns.update((1, 2, 3), host_count=1, now_ms=0)
     >>> slowdowns.is_slow(1), slowdowns.is_slow(3), round(slowdowns.slowdown(3), 1)
     (False, True, 1.9)
     """
@@ -85,11 +84,18 @@
         average = self._averages.setdefault(key, _Average())
         average.total += min(MAX_RATIO, max(MIN_RATIO, ratio))
         average.weight += 1.0
+        if average.weight > MAX_WEIGHT:
+            average.total *= MAX_WEIGHT / average.weight
+            average.weight = MAX_WEIGHT
 
-    def update(self, host_count: int, now_ms: int) -> None:
+    def update(self, keys: Iterable[int], host_count: int, now_ms: int) -> None:
         """Ages the observations and computes the slowdowns from them.
 
+        An engine without observations has an average of no weight. Without it, a single observation
+        would spread over hosts that have none, and count as one of each of them.
+
         Args:
+            keys: All registered engines; averages of others are dropped.
             host_count: Number of live hosts, with this one.
             now_ms: Monotonic time.
         """
@@ -99,9 +105,7 @@
                 average.total *= factor
                 average.weight *= factor
         self._updated_ms = now_ms
-        self._averages = {
-            key: average for key, average in self._averages.items() if average.weight >= MIN_WEIGHT
-        }
+        self._averages = {key: self._averages.get(key) or _Average() for key in keys}
         self._slowdowns = {
             key: (average.total * host_count + PRIOR_WEIGHT)
             / (average.weight * host_count + PRIOR_WEIGHT)
@@ -118,14 +122,20 @@
             keys = (keys[first:] + keys[:first])[:MAX_REPORTED]
         return tuple(
             SlowdownReport(key, average.total / average.weight, average.weight)
-            for key in keys
             if (average := self._averages[key]).weight > 0
+            else SlowdownReport(key, 1.0, 0.0)
+            for key in keys
         )
 
     def merge(self, reports: Iterable[SlowdownReport]) -> None:
-        """Mixes the averages of another host with those of this one."""
+        """Mixes the averages of another host with those of this one.
+
+        Engines that this host does not know yet are left out.
+        """
         for report in reports:
-            average = self._averages.setdefault(report.key, _Average())
+            average = self._averages.get(report.key)
+            if average is None:
+                continue
             average.total = (average.total + report.slowdown * report.weight) / 2
             average.weight = (average.weight + report.weight) / 2
 
--- a/src/sesamehold/process/gateway/stage_admission.py
+++ b/src/sesamehold/process/gateway/stage_admission.py
@@ -88,6 +88,7 @@
         factory=lambda: collections.defaultdict(_Backlog)
     )
     _estimated_at_ms: int | None = None
+    _counts: dict[str, int] = attrs.field(factory=dict)
     _hopeless: list[stage_job.Job] = attrs.field(factory=list)
 
     def is_outdated(self, now_ms: int) -> bool:
@@ -104,6 +105,7 @@
         self._estimated_at_ms = now_ms
         self._backlogs.clear()
         self._hopeless.clear()
+        self._counts.clear()
         drained_ms: collections.defaultdict[str, float] = collections.defaultdict(float)
         for item in self._in_expected_order(waiting):
             job = item.job
@@ -129,6 +131,7 @@
 
         One that has results of a previous leader is refused only if its own stages take too long.
         """
+        self._counts.clear()
         job = item.job
         account = job.request.account
         times_ms = {
@@ -198,8 +201,14 @@
             ends_ms.append(at_ms)
         return max(ends_ms) + item.job.request.request_ms
 
+    def _count_of(self, service: str) -> int:
+        """Returns the number of usable targets, which costs too much to count for each job."""
+        if service not in self._counts:
+            self._counts[service] = self.target_count(service)
+        return self._counts[service]
+
     def _time_ms(self, service: str, piece_count: int) -> float:
         pool = self.pool_for(service)
         if pool is None:
             return 0.0
-        return pool.work_time_ms(piece_count) / max(1, self.target_count(service))
+        return pool.work_time_ms(piece_count) / max(1, self._count_of(service))
--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -68,7 +68,7 @@
         at_ms = self.latest_start_ms + penalty_ms
         rank = job.request.urgency + LATER_ROUND_LOSS * self.round / (1 + self.round)
         if now_ms > self.latest_start_ms:
-            if now_ms > self.last_start_ms - LAST_CHANCE_MS:
+            if 0 <= self.last_start_ms - now_ms < LAST_CHANCE_MS:
                 return rank, -math.inf, self.last_start_ms
             return rank + LATE_URGENCY_LOSS, job.open_count, at_ms
         return rank, at_ms - (STARTED_SLACK_MS if job.started else 0), 0.0
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -98,7 +98,9 @@
         try:
             failure = await waiter
         except asyncio.CancelledError:
-            self.release(request_id)
+            # The host of the caller may have submitted the request again meanwhile.
+            if self._waiters.get(request_id) is waiter:
+                self.release(request_id)
             raise
         finally:
             if self._waiters.get(request_id) is waiter:
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -159,6 +159,14 @@
             and self.host_count() >= engine_choice.MIN_HOSTS
         )
 
+    def engine_keys(self) -> list[int]:
+        """Returns the keys of all registered engines."""
+        services = {} if self.table is None else self.table.services
+        names = {name for name, service in services.items() if service.engine is not None}
+        return [
+            engine_load.engine_key(target) for target in self.directory if target.service in names
+        ]
+
     def host_count(self) -> int:
         """Returns the number of live hosts, with this one."""
         return len(self.hosts.alive(self.clock.now_ms())) + 1
--- a/src/sesamehold/process/listening.py
+++ b/src/sesamehold/process/listening.py
@@ -7,6 +7,7 @@
 import attrs
 
 _MAX_PORT = 65_535
+_LINE_FRAMING_BYTES = 64
 
 
 @attrs.frozen
@@ -66,7 +67,8 @@
 
     @head_size_bytes.default
     def _default_head_size_bytes(self) -> int:
-        return self.header_size_bytes * (self.header_count + 1)
+        # The limit on a line leaves out its separators, the method and the version.
+        return (self.header_size_bytes + _LINE_FRAMING_BYTES) * (self.header_count + 1)
 
 
 @attrs.frozen
--- a/src/sesamehold/process/receive_budget.py
+++ b/src/sesamehold/process/receive_budget.py
@@ -93,6 +93,7 @@
     used_bytes: int = 0
     _holdings: set[Holding] = attrs.field(factory=set)
     _search_above_bytes: int = 0
+    _is_shedding: bool = False
 
     @classmethod
     def from_memory(
@@ -114,10 +115,17 @@
             self._holdings.add(holding)
         else:
             self._holdings.discard(holding)
-        if self.used_bytes <= self.capacity_bytes:
-            self._search_above_bytes = 0
-        elif self.used_bytes > self._search_above_bytes:
-            self._shed()
+        if self.used_bytes <= self.capacity_bytes * (1 - _FREED_FRACTION):
+            self._search_above_bytes = self.capacity_bytes
+            return
+        is_short = self.used_bytes > max(self._search_above_bytes, self.capacity_bytes)
+        # A connection that cannot be shed any more counts itself again.
+        if is_short and not self._is_shedding:
+            self._is_shedding = True
+            try:
+                self._shed()
+            finally:
+                self._is_shedding = False
 
     def _shed(self) -> None:
         wanted_bytes = self.capacity_bytes * (1 - _FREED_FRACTION)
--- a/src/sesamehold/request/gateway/attempts.py
+++ b/src/sesamehold/request/gateway/attempts.py
@@ -11,8 +11,8 @@
 # Limit on sends of one request that were rejected before a target ran it, for example because the
 # target was full. Further sends would use up the retry budget that all requests share.
 MAX_REJECTED_SENDS = 3
-# Limit on connections of one request that could not be opened. They cost no target anything, but
-# each of them may take as long as a connection attempt.
+# Limit on connections of one request that could not be opened. The engines behind them received
+# nothing, but each may take as long as a connection attempt.
 MAX_UNREACHABLE = 8
 
 # Statuses that callers interpret as a guarantee that the request was not processed.
@@ -93,6 +93,11 @@
         """Returns whether any attempt may have started to run on a target."""
         return self.runs > 0
 
+    def step_without_inputs(self) -> NextStep:
+        """Returns what follows if the stages would have to run again for a further attempt."""
+        is_allowed = self.rejected + self.unreachable < MAX_REJECTED_SENDS
+        return NextStep.REDO_STAGES if is_allowed else NextStep.REFUSE
+
     def may_run_again(self, *, open_runs: int = 0) -> bool:
         """Returns whether a further target may run the request.
 
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -442,7 +442,7 @@
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
             step = self._check_limits(step, result)
         if step is attempts.NextStep.SEND_AGAIN and self._stages.inputs_freed:
-            step = attempts.NextStep.REDO_STAGES
+            step = self._attempts.step_without_inputs()
         if step in {attempts.NextStep.SEND_AGAIN, attempts.NextStep.REDO_STAGES}:
             self._record.write("attempt.again", target=target.target_id, after=result.value)
             return Ok(step)
--- a/testing/platform/test_fleet.py
+++ b/testing/platform/test_fleet.py
@@ -71,6 +71,7 @@
 
 
 HOST_LOST = Error(ports.StageFailure("stage-host-lost", 0))
+LINK_RESET = Error(ports.StageFailure("stage-link-reset", 0))
 
 
 @pytest.mark.parametrize(
@@ -98,6 +99,34 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("outcomes", "run_counts"),
+    [
+        pytest.param([LINK_RESET, Ok(RESULTS)], [2, 0], id="once"),
+        pytest.param([LINK_RESET, LINK_RESET], [2, 1], id="twice"),
+        pytest.param([LINK_RESET, HOST_LOST], [2, 1], id="then-lost"),
+    ],
+)
+def test_leader_whose_connection_was_reset_stays_the_leader(
+    outcomes: list[_Outcome], run_counts: list[int]
+) -> None:
+    """Guards against hosts that turn to others, which hand the stages over until they are refused.
+
+    Resets of many connections at once left every host with a leader of its own for two seconds.
+    """
+
+    async def main() -> None:
+        peers = {
+            "10.0.0.1:1": _StageRunnerStub(list(outcomes)),
+            "10.0.0.2:1": _StageRunnerStub([Ok(RESULTS)]),
+        }
+        instance = _fleet(_StageRunnerStub([]), peers, own_incarnation=9)
+        assert (await instance.run(REQUEST)).ok == RESULTS
+        assert [len(peer.requests) for peer in peers.values()] == run_counts
+
+    stand_in.run(main)
+
+
 def test_stages_handed_over_by_this_host_continue_on_a_peer() -> None:
     """Guards against refusals by a host that was the leader only briefly."""
 
@@ -159,7 +188,7 @@
         assert len(heartbeat.beats) == min(peer_count + 1, hosts.MAX_HOSTS_PER_DATAGRAM)
         endpoint = _EndpointStub()
         instance._endpoint = endpoint  # type: ignore[assignment]
-        instance._send_loads(now_ms)
+        instance._share_load(now_ms)
         assert len(endpoint.sent) == datagram_count
         for addresses, message in endpoint.sent:
             assert len(addresses) == hosts.GOSSIP_FANOUT
--- a/testing/process/gateway/test_engine_choice.py
+++ b/testing/process/gateway/test_engine_choice.py
@@ -114,7 +114,7 @@
         while gossip_ms <= now_ms:
             if is_shared:
                 lossy_gossip.exchange(hosts, rng, gossip_ms)
-                _mix_slowdowns(hosts, rng, gossip_ms)
+                _mix_slowdowns(hosts, candidates, rng, gossip_ms)
             gossip_ms += interval_ms
         while due and due[0][0] <= now_ms:
             heapq.heappop(due)[2]()  # type: ignore[operator]
@@ -151,9 +151,12 @@
     )
 
 
-def _mix_slowdowns(hosts: list[Host], rng: random.Random, now_ms: int) -> None:
+def _mix_slowdowns(
+    hosts: list[Host], engines: list[targets.Target], rng: random.Random, now_ms: int
+) -> None:
+    keys = [engine_load.engine_key(engine) for engine in engines]
     for host in hosts:
-        host.slowdowns.update(len(hosts), now_ms)
+        host.slowdowns.update(keys, len(hosts), now_ms)
         for other in rng.sample(hosts, 3):
             if rng.random() >= lossy_gossip.LOSS:
                 other.slowdowns.merge(host.slowdowns.reports())
--- a/testing/process/gateway/test_engine_slowdowns.py
+++ b/testing/process/gateway/test_engine_slowdowns.py
@@ -27,10 +27,11 @@
     while now_ms < start_ms + duration_ms:
         for _ in range(int(answers_per_s * HEARTBEAT_MS / 1_000)):
             key = rng.choice(ENGINES)
-            ratio = (1.9 if key in slow else 0.8) * rng.uniform(0.5, 1.5)
+            usual = 0.8 if slow else 1.0
+            ratio = (1.9 if key in slow else usual) * rng.uniform(0.5, 1.5)
             rng.choice(hosts).record(key, ratio)
         for host in hosts:
-            host.update(len(hosts), now_ms)
+            host.update(ENGINES, len(hosts), now_ms)
             others = [other for other in hosts if other is not host]
             for other in rng.sample(others, min(lossy_gossip.FANOUT, len(others))):
                 if rng.random() >= lossy_gossip.LOSS:
@@ -67,9 +68,9 @@
     for key in ENGINES:
         for _ in range(10):
             host.record(key, 2.0 if key in SLOW else 1.0)
-    host.update(1, 0)
+    host.update(ENGINES, 1, 0)
     assert _slow_engines(host) == SLOW
-    host.update(1, 60_000)
+    host.update(ENGINES, 1, 60_000)
     assert not _slow_engines(host)
 
 
@@ -82,7 +83,7 @@
     for at_ms in range(now_ms, now_ms + 40_000, HEARTBEAT_MS):
         for key in ENGINES:
             alone.record(key, 2.0 if key == 1 else 1.0)
-        alone.update(1, at_ms)
+        alone.update(ENGINES, 1, at_ms)
     assert _slow_engines(alone) == {1}
 
 
@@ -102,22 +103,52 @@
     host = engine_slowdowns.EngineSlowdowns()
     seen = []
     for step, ratio in enumerate(ratios):
-        host.update(1, step * 20_000)
+        host.update((1, 2, 3), 1, step * 20_000)
         for _ in range(200):
             host.record(1, ratio)
             host.record(2, 1.0)
             host.record(3, 1.0)
-        host.update(1, step * 20_000)
+        host.update((1, 2, 3), 1, step * 20_000)
         seen.append(host.is_slow(1))
     assert seen == expected
 
 
+@pytest.mark.parametrize("host_count", [16, 60, 90])
+def test_one_answer_does_not_make_an_engine_slow(host_count: int) -> None:
+    """Guards against an observation that counts once more at each host that has none."""
+    rng = random.Random(4)
+    hosts = [engine_slowdowns.EngineSlowdowns() for _ in range(host_count)]
+    now_ms = _measure(hosts, rng, 6_000, frozenset())
+    keys = [*ENGINES, 100]
+    for host in hosts:
+        host.update(keys, host_count, now_ms)
+    hosts[0].record(100, engine_slowdowns.MAX_RATIO)
+    for _ in range(12):
+        now_ms += HEARTBEAT_MS
+        for host in hosts:
+            host.update(keys, host_count, now_ms)
+            for other in rng.sample(hosts, lossy_gossip.FANOUT):
+                other.merge(host.reports())
+    assert sum(host.is_slow(100) for host in hosts) <= 0.1 * host_count
+
+
 def test_averages_of_engines_that_are_gone_are_dropped() -> None:
     """Guards against memory that grows with every engine that ever started."""
     host = engine_slowdowns.EngineSlowdowns()
     for key in range(1_000):
         host.record(key, 1.0)
-    host.update(1, 0)
+    host.update(range(1_000), 1, 0)
     assert len(host.reports()) == engine_slowdowns.MAX_REPORTED
-    host.update(1, 200_000)
-    assert host.reports() == ()
+    host.update((1,), 1, 400)
+    host.merge([engine_slowdowns.SlowdownReport(2, 1.0, 1.0)])
+    assert [report.key for report in host.reports()] == [1]
+
+
+def test_weight_of_an_average_is_bounded() -> None:
+    """Guards against averages of a long time that other hosts refuse or cannot outweigh."""
+    host = engine_slowdowns.EngineSlowdowns()
+    for _ in range(5_000):
+        host.record(1, 2.0)
+    host.update((1,), 1, 0)
+    (report,) = host.reports()
+    assert report == engine_slowdowns.SlowdownReport(1, 2.0, engine_slowdowns.MAX_WEIGHT)
--- a/testing/request/gateway/test_attempts.py
+++ b/testing/request/gateway/test_attempts.py
@@ -58,6 +58,24 @@
     assert [request_attempts.record(result) for result in results] == steps
 
 
+@pytest.mark.parametrize(
+    ("results", "step"),
+    [
+        pytest.param([R.NOT_SENT], S.REDO_STAGES, id="one-unreachable"),
+        pytest.param([R.NOT_SENT] * 3, S.REFUSE, id="three-unreachable"),
+        pytest.param([R.NOT_SENT, R.NOT_RUN, R.NOT_SENT], S.REFUSE, id="three-in-all"),
+    ],
+)
+def test_stages_run_again_for_few_attempts_that_no_target_received(
+    results: list[R], step: S
+) -> None:
+    """Guards against stage work that is done again for each target that cannot be reached."""
+    request_attempts = attempts.Attempts(repeatable=False, max_runs=1)
+    for result in results:
+        request_attempts.record(result)
+    assert request_attempts.step_without_inputs() is step
+
+
 @given(results=st.lists(st.sampled_from(list(R)), max_size=8))
 def test_non_repeatable_request_is_not_sent_again_once_it_may_have_run(results: list[R]) -> None:
     """Guards against a second run of a non-repeatable request for any sequence of results."""
