--- a/testing/platform/test_refused_callers.py
+++ b/testing/platform/test_refused_callers.py
@@ -90,6 +90,38 @@
     stand_in.run(main)
 
 
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        pytest.param(b"zz\r\n", 400, id="malformed-chunk"),
+        pytest.param(b"1;" + b"e" * 100_000, 413, id="chunk-extension"),
+        pytest.param(b"0\r\n" + b"X: 1\r\n" * 1_000, 431, id="trailers"),
+    ],
+)
+def test_refusal_inside_a_body_does_not_wait_for_its_idle_limit(rest: bytes, status: int) -> None:
+    """Guards against a handler that waits for more of a body of which nothing more is parsed.
+
+    Content and the fault come in one part, so the handler is woken before the refusal. It then
+    waited until the limit and answered 408.
+    """
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", "non_idempotent")]
+        site.add_worker("i-0", "svc", _answer)
+        site.publish(limits=LIMITS)
+        async with site:
+            await site.start_gateway()
+            reader, writer = await asyncio.open_connection(*_address(site))
+            writer.write(_chunks(b"5\r\nhello\r\n"))
+            await asyncio.sleep(0.2)
+            writer.write(b"5\r\nhello\r\n" + rest)
+            assert (await reader.read()).split()[1] == b"%d" % status
+            writer.close()
+
+    stand_in.run(main)
+
+
 def test_connections_that_hold_most_are_refused_when_memory_is_short() -> None:
     """Guards against small requests that are refused for others that hold much more."""
 
