Order stages as before in fleets of under 16 hosts

Cause: with few targets and twice the demand that they can serve, most steps are late. A last chance for each of them, waits in the slack and turns keep more requests begun than the targets can end.

Change: fleets of under 16 live hosts, the limit of the shared load of engines, count neither the fullness of calls nor waits, give no last chance and take no turns. Requests refused at once by the estimate over the chain, and the stages that do not run again, stay.

--- a/src/sesamehold/process/gateway/stage_queue.py
+++ b/src/sesamehold/process/gateway/stage_queue.py
@@ -111,9 +111,12 @@
 
     Attributes:
         pool_for: Returns the stage pool of a service, None if the service does not run stages.
+        counts_others: Whether the time of a step contains the work of others in its calls, and a
+            step that is about to miss its deadline goes first.
     """
 
     pool_for: Callable[[str], routing.StagePool | None]
+    counts_others: bool = True
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
     _changed: dict[str, _Entry] = attrs.field(factory=dict)
     _steps: dict[str, dict[int, QueuedStep]] = attrs.field(factory=dict)
@@ -252,15 +255,19 @@
             )
             memory_bound = is_memory_bound(pool, job.result_size_bytes(step.stage_index))
             if is_single or not memory_bound or path_ms + MAX_EARLY_MS >= critical_path_ms:
-                needed_ms = job.request.request_ms + self._times.call_ms(step.service, count)
-                needed_ms += self._times.path_ms(downstream)
-                startable.append(
-                    QueuedStep(
-                        step, job.latency_goal_at_ms - needed_ms, job.deadline_at_ms - needed_ms
-                    )
-                )
+                startable.append(self._queued_step(job, step, path_ms))
         return startable
 
+    def _queued_step(
+        self, job: stage_job.Job, step: stage_job.ReadyStep, path_ms: float
+    ) -> QueuedStep:
+        if not self.counts_others:
+            return QueuedStep(step, job.latency_goal_at_ms - path_ms, math.inf)
+        call_ms = self._times.call_ms(step.service, len(step.pieces))
+        later_ms = self._times.path_ms(job.downstream_path(step.stage_index))
+        needed_ms = job.request.request_ms + call_ms + later_ms
+        return QueuedStep(step, job.latency_goal_at_ms - needed_ms, job.deadline_at_ms - needed_ms)
+
 
 def _waiting_job(entry: _Entry, now_ms: int) -> WaitingJob:
     job = entry.job
--- a/src/sesamehold/process/gateway/stage_runner.py
+++ b/src/sesamehold/process/gateway/stage_runner.py
@@ -65,6 +65,7 @@
             self._state.may_call_stage,
             self._state.target_load,
             self._state.rng,
+            self._state.is_large_fleet,
         )
 
     def __len__(self) -> int:
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -70,6 +70,8 @@
         may_call: Returns whether a target's own restrictions allow a call to it now.
         load: Load that targets state; empty if they state none.
         rng: Source of the spread of retry delays.
+        is_large_fleet: Returns whether the order of steps counts the work of others, and accounts
+            take turns. With the few targets of a small fleet both cost more than they gain.
     """
 
     usable_targets: Callable[[str], list[targets.Target]]
@@ -78,6 +80,7 @@
     may_call: Callable[[targets.Target], bool]
     load: target_load.TargetLoad = attrs.field(factory=target_load.TargetLoad)
     rng: random.Random = attrs.field(factory=random.Random)
+    is_large_fleet: Callable[[], bool] = lambda: True
     _queue: stage_queue.StageQueue = attrs.field(init=False)
     _admission: stage_admission.StageAdmission = attrs.field(init=False)
     _workers: stage_workers.WorkerTable = attrs.field(factory=stage_workers.WorkerTable)
@@ -147,6 +150,7 @@
         which has no usable target.
         """
         self._release_overdue_pieces(now_ms)
+        self._queue.counts_others = self.is_large_fleet()
         finished: list[FinishedJob] = []
         for job in self._queue.infeasible(now_ms):
             finished += self._fail(job, "too-late", now_ms)
@@ -275,9 +279,9 @@
             for target, worker in workers
             if worker.is_free_within(stage_batching.MAX_ZONE_WAIT_MS, now_ms)
         )
-        queue = self._shares.order(
-            service, pool, len(workers), self._queue.queued_steps(service, now_ms), now_ms
-        )
+        queue = self._queue.queued_steps(service, now_ms)
+        if self._queue.counts_others:
+            queue = self._shares.order(service, pool, len(workers), queue, now_ms)
         batches = stage_batching.form_batches(queue, idle, soon_idle_zones, pool, now_ms)
         return [
             self._create_call(batch.target, batch.pieces, pool, len(queue), now_ms)
--- a/src/sesamehold/process/gateway/state.py
+++ b/src/sesamehold/process/gateway/state.py
@@ -156,9 +156,13 @@
         return (
             self.table is not None
             and any(service.engine is not None for service in self.table.services.values())
-            and self.host_count() >= engine_choice.MIN_HOSTS
+            and self.is_large_fleet()
         )
 
+    def is_large_fleet(self) -> bool:
+        """Returns whether the requests of other hosts matter more than those of this one."""
+        return self.host_count() >= engine_choice.MIN_HOSTS
+
     def engine_keys(self) -> list[int]:
         """Returns the keys of all registered engines."""
         services = {} if self.table is None else self.table.services
