--- a/src/sesamehold/process/gateway/stage_admission.py
+++ b/src/sesamehold/process/gateway/stage_admission.py
@@ -89,7 +89,7 @@
     )
     _estimated_at_ms: int | None = None
     _counts: dict[str, int] = attrs.field(factory=dict)
-    _hopeless: list[stage_job.Job] = attrs.field(factory=list)
+    _unservable: list[stage_job.Job] = attrs.field(factory=list)
 
     def is_outdated(self, now_ms: int) -> bool:
         """Returns whether `update` is due."""
@@ -104,27 +104,27 @@
         """
         self._estimated_at_ms = now_ms
         self._backlogs.clear()
-        self._hopeless.clear()
+        self._unservable.clear()
         self._counts.clear()
         drained_ms: collections.defaultdict[str, float] = collections.defaultdict(float)
         for item in self._in_expected_order(waiting):
             job = item.job
             if not job.started and now_ms + self._end_ms(item, drained_ms) > job.deadline_at_ms:
-                self._hopeless.append(job)
+                self._unservable.append(job)
                 continue
             for service, pieces in item.piece_counts.items():
                 time_ms = self._time_ms(service, pieces)
                 drained_ms[service] += time_ms
                 self._backlogs[service].add(item.rank, job.request.account, time_ms)
 
-    def take_hopeless(self) -> list[stage_job.Job]:
+    def take_unservable(self) -> list[stage_job.Job]:
         """Returns the jobs that the last update found unable to end in time, and clears them.
 
         A job that has been started is never among them, as its results would be wasted. The caller
         checks that nothing has changed since.
         """
-        hopeless, self._hopeless = self._hopeless, []
-        return hopeless
+        unservable, self._unservable = self._unservable, []
+        return unservable
 
     def admit(self, item: stage_queue.WaitingJob, now_ms: int) -> ports.StageFailure | None:
         """Counts the work of a new job; returns a failure if it cannot end before its deadline.
--- a/src/sesamehold/process/gateway/stage_scheduler.py
+++ b/src/sesamehold/process/gateway/stage_scheduler.py
@@ -155,7 +155,7 @@
         for job in self._queue.infeasible(now_ms):
             finished += self._fail(job, "too-late", now_ms)
         if self._shares.is_any_short:
-            for job in self._hopeless_jobs(now_ms):
+            for job in self._unservable_jobs(now_ms):
                 finished += self._fail(job, "no-room-in-time", now_ms)
         for job in self._queue.jobs_that_need(self._services_without_target(now_ms)):
             finished += self._fail(job, "no-stage-target")
@@ -292,12 +292,12 @@
         if self._admission.is_outdated(now_ms):
             self._admission.update(self._queue.waiting_jobs(now_ms), now_ms)
 
-    def _hopeless_jobs(self, now_ms: int) -> list[stage_job.Job]:
+    def _unservable_jobs(self, now_ms: int) -> list[stage_job.Job]:
         """Returns the jobs without results that cannot end in time behind what is ahead of them."""
         self._update_admission(now_ms)
         return [
             job
-            for job in self._admission.take_hopeless()
+            for job in self._admission.take_unservable()
             if self._queue.contains(job) and not job.started
         ]
 
