--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -98,6 +98,11 @@
     writer.transport.abort()
 
 
+def _in_chunks(body: bytes, chunk_bytes: int) -> bytes:
+    parts = [body[start : start + chunk_bytes] for start in range(0, len(body), chunk_bytes)]
+    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
 class Answer:
     """An answer as its client saw it."""
 
@@ -130,12 +135,22 @@
             self.writer = self.reader = None
 
     async def exchange(
-        self, method: str, path: str, headers: dict[str, str], body: bytes, limit_s: float
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        limit_s: float,
+        *,
+        chunk_bytes: int = 0,
     ) -> Answer:
-        """Sends one request and reads its answer."""
+        """Sends one request and reads its answer; sends the body in chunks of a size, if given."""
         answer = Answer()
         lines = [f"{method} {path} HTTP/1.1", *(f"{key}: {v}" for key, v in headers.items())]
-        if body or method == "POST":
+        if chunk_bytes:
+            lines.append("Transfer-Encoding: chunked")
+            body = _in_chunks(body, chunk_bytes)
+        elif body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         answer.sent_s = now()
         try:
