--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -44,6 +44,9 @@
 _untaken_ports: list[int] = []
 
 
+LARGEST_HEAD_BYTES = 2 * 1_048_576
+
+
 def free_port() -> int:
     """Returns a port that is free now and that this process was not given before."""
     while True:
@@ -252,7 +255,9 @@
         return f"{HOST}:{self.port}"
 
     async def start(self) -> asyncio.Server:
-        self.server = await asyncio.start_server(self._serve, HOST, self.port)
+        self.server = await asyncio.start_server(
+            self._serve, HOST, self.port, limit=LARGEST_HEAD_BYTES
+        )
         return self.server
 
     def stop(self) -> None:
