Count the heads of open requests, and of the last one on a connection

What callers saw: 200 callers, each inside the limits, took a gateway of 160 MB to 258 to 681 MB and sesameholdd to 255 to 530 MB; a host with that much memory would have ended the process, and with it all requests on it.

Cause: a head counted in the memory for callers only until the handler of its request began. aiohttp keeps each line as bytes and as text, of up to four bytes a character, until the next request on the connection begins: while a body is awaited, while a target works, while the connection is idle and while a refused caller is waited for. A head may have 1 MiB.

Why this works: the head stays in the sum until the next one replaces it. Before admission and on an idle connection it is lost like all else. An admitted request may not lose it, so large heads are admitted up to half of the capacity, and refused with 503, "not run" and Retry-After beyond it; one that is alone always is, so a single request is served in calm. A connection that is refused with a large head ends without the wait for its caller.

--- a/src/sesamehold/connection/caller_body.py
+++ b/src/sesamehold/connection/caller_body.py
@@ -35,7 +35,6 @@
             async with asyncio.timeout(limits.idle_ms / _MS_PER_S):
                 chunk = await request.content.readany()
             if not chunk:
-                caller_connection.hold_body(request, 0)
                 return Ok(b"".join(chunks))
             size_bytes += len(chunk)
             caller_connection.hold_body(request, size_bytes)
--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -48,6 +48,8 @@
 CONNECTION_BYTES = 8_192
 # The parser holds each line of a head as bytes and as text, whose characters may take four bytes.
 HEAD_COPIES = 5
+# A request that is open keeps them, and its head once more as it is sent to a target.
+OPEN_HEAD_COPIES = HEAD_COPIES + 1
 # Framing of this many bytes costs as much time as one byte of the framing of a target's answers.
 FRAMING_BYTES_PER_CHARGE = 8
 # A connection that would have to wait longer for its framing is refused.
@@ -98,10 +100,12 @@
         "_head_begun_s",
         "_held_body_bytes",
         "_holding",
+        "_is_admitted",
         "_is_draining",
         "_is_paced",
         "_is_refused",
         "_is_unread",
+        "_last_head_bytes",
         "_last_request_body",
         "_limits",
         "_linger",
@@ -141,6 +145,9 @@
         self._unparsed = b""
         self._unread_timer: asyncio.TimerHandle | None = None
         self._waiting_heads: collections.deque[int] = collections.deque()
+        # The base class keeps the last request until the next one begins.
+        self._last_head_bytes = 0
+        self._is_admitted = False
         self._body_left_bytes: int | None = None
         self._held_body_bytes = 0
         self._is_draining = False
@@ -210,6 +217,20 @@
         self._held_body_bytes = 0 if self._is_refused else size_bytes
         self._update_holding()
 
+    def admit(self, size_bytes: int = 0) -> bool:
+        """Lets the open request keep its head until its answer ends, if there is memory for it.
+
+        Args:
+            size_bytes: Memory that the request keeps besides its head.
+        """
+        if not self._budget.admit(self._holding, self._last_head_bytes + size_bytes):
+            self._budget.on_excess(receive_budget.Excess.MEMORY)
+            return False
+        self._is_admitted = True
+        self._held_body_bytes = 0
+        self._update_holding()
+        return True
+
     # ---- receiving -----------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -224,6 +245,7 @@
         self._socket = None
         self._cancel_unread_timer()
         self._unparsed = b""
+        self._budget.end_admitted(self._holding)
         self._budget.update(self._holding, 0)
 
     def pause_writing(self) -> None:
@@ -307,6 +329,7 @@
         body_bytes = 0 if body is None else body.total_bytes
         super().data_received(part)
         if self._request_count != known_count:
+            self._waiting_heads.extend([0] * (self._request_count - known_count - 1))
             return self._on_message(len(part))
         limit_bytes = self._limits().head_size_bytes
         if body is not None:
@@ -394,6 +417,7 @@
         if self._messages:
             # These have not run. The first of them is refused, and the connection ends then.
             self._messages.clear()
+            self._waiting_heads.clear()
             self._last_request_body = None
         elif not self._is_in_body and not self._unparsed and self._head_begun_s is None:
             # The request has been admitted since this connection was last counted.
@@ -419,6 +443,7 @@
         info = web_protocol._ErrInfo(status, error, "")
         self._request_count += 1
         self._messages.append((info, streams.EMPTY_PAYLOAD))
+        self._waiting_heads.append(0)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
@@ -429,6 +454,23 @@
             if self._linger is not None and not self._linger.done():
                 self._linger.set_result(None)
 
+    async def _handle_request(
+        self, request: web.BaseRequest, start_time: float | None, request_handler: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        """Handles one request, or refuses it if there is no memory for its head."""
+        if self._waiting_heads:
+            head_bytes = OPEN_HEAD_COPIES * self._waiting_heads.popleft()
+            self._last_head_bytes = max(head_bytes - CONNECTION_BYTES, 0)
+        if request.content is streams.EMPTY_PAYLOAD and not self.admit():
+            request_handler = self._refuse_for_memory
+        return await super()._handle_request(request, start_time, request_handler)
+
+    async def _refuse_for_memory(self, request: web.BaseRequest) -> web.StreamResponse:
+        del request
+        response = problem_http.response(memory_failure(), None)
+        self.finish_if_last(response)
+        return response
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
@@ -448,6 +490,8 @@
         if not body.is_eof():
             # Otherwise the base class would read it.
             body.feed_eof()
+        self._is_admitted = False
+        self._budget.end_admitted(self._holding)
         self._update_holding()
         return result
 
@@ -455,6 +499,9 @@
         transport = self.transport
         if transport is None or self._discarded_bytes > LINGER_BYTES:
             return
+        if self._last_head_bytes > receive_budget.SMALL_BYTES:
+            # The request keeps its head until it returns.
+            return
         if transport.can_write_eof():
             transport.write_eof()
         self._is_paced = False
@@ -469,14 +516,14 @@
     def _update_holding(self) -> None:
         if self._socket is None:
             return
-        while len(self._waiting_heads) > len(self._messages):
-            self._waiting_heads.popleft()
         head_bytes = self._meter.head_bytes + sum(self._waiting_heads)
         held_bytes = len(self._unparsed) + self._held_body_bytes
         if self._is_in_body:
             head_bytes += self._meter.framing_since_body_bytes
             held_bytes += self._last_request_body._size
         held_bytes += HEAD_COPIES * head_bytes
+        if not (self._is_admitted or self._is_refused):
+            held_bytes += self._last_head_bytes
         size_bytes = CONNECTION_BYTES + held_bytes + self._unread_bytes
         self._budget.update(self._holding, size_bytes, self._use(held_bytes))
 
@@ -550,6 +597,17 @@
         connection.hold_body(size_bytes)
 
 
+def admit(request: web.BaseRequest, size_bytes: int = 0) -> bool:
+    """Returns whether there is memory for what a request keeps until its answer ends.
+
+    Args:
+        request: Request whose body has been read.
+        size_bytes: Memory that it keeps besides its head.
+    """
+    connection = request.protocol
+    return not isinstance(connection, CallerConnection) or connection.admit(size_bytes)
+
+
 def failure_of(excess: receive_budget.Excess) -> errors.Failure:
     """Returns the failure that the caller of a refused connection receives."""
     match excess:
@@ -558,13 +616,18 @@
         case receive_budget.Excess.FRAMING:
             return errors.TooLarge(detail="The chunks of the body exceed their limit.")
         case receive_budget.Excess.MEMORY | receive_budget.Excess.FRAMING_RATE:
-            return errors.Overloaded(
-                detail="The host cannot receive this request now; send it again later.",
-                retry_after_ms=OVERLOADED_RETRY_MS,
-            )
+            return memory_failure()
     return _status_failure(HTTPStatus.BAD_REQUEST)
 
 
+def memory_failure() -> errors.Failure:
+    """Returns the failure that a caller receives while there is no memory for its request."""
+    return errors.Overloaded(
+        detail="The host cannot receive this request now; send it again later.",
+        retry_after_ms=OVERLOADED_RETRY_MS,
+    )
+
+
 def _excess_of(error: web_protocol._ErrInfo) -> receive_budget.Excess:
     is_too_long = isinstance(error.exc, http_exceptions.LineTooLong)
     if is_too_long or error.message.startswith(_TOO_MANY_LINES):
--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -10,6 +10,7 @@
 
 from sesamehold.connection import answer_http
 from sesamehold.connection import caller_body
+from sesamehold.connection import caller_connection
 from sesamehold.connection import explanation_peer
 from sesamehold.connection import peer_client
 from sesamehold.connection import problem_http
@@ -56,6 +57,8 @@
         """Runs one request and returns a complete or streamed response."""
         match await caller_body.read(request, self.node.config.limits):
             case Result(tag="ok", ok=body):
+                if not caller_connection.admit(request):
+                    return self._refuse(caller_connection.memory_failure())
                 decoded = submission.decode(request.match_info["pipeline"], request.headers, body)
             case Result(error=failure):
                 return self._refuse(failure)
--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -168,10 +168,9 @@
             return self._excess_refusal(error.excess)
         except web.RequestPayloadError:
             return messages.Refusal(messages.Reason.MALFORMED)
-        caller_connection.hold_body(request, 0)
         if size_bytes < len(body):
             return messages.Refusal(messages.Reason.MALFORMED)
-        return body
+        return body if caller_connection.admit(request) else self._no_memory_refusal()
 
     async def _reserve(self, memory: _BodyMemory, size_bytes: int) -> bool:
         """Waits for a short time until memory for a body is free; returns whether it is."""
--- a/src/sesamehold/process/receive_budget.py
+++ b/src/sesamehold/process/receive_budget.py
@@ -1,9 +1,12 @@
-"""Memory of this process for what connections of callers hold before a request is admitted.
+"""Memory of this process for what connections of callers hold besides admitted bodies.
 
 A connection counts what it has received of heads, of bodies that are still being read, and of
 requests that wait for the one before them, and an answer that its caller has not read for a while.
 When all together exceed the capacity, those that hold most without an admitted request lose it
 first, then unread answers, so that small requests of others still get through.
+
+An admitted request keeps its head until its answer ends and cannot lose it, so large heads are
+admitted only while they leave half of the capacity to others.
 """
 
 from __future__ import annotations
@@ -22,6 +25,8 @@
 DAEMON_FRACTION = 0.3
 # Connections that hold less lose it last, after answers that are not read.
 SMALL_BYTES = 65_536
+# Part of the capacity for what admitted requests keep.
+_ADMITTED_FRACTION = 0.5
 # What is freed at once when the capacity is exceeded, and what must come before the next search if
 # it could not be freed, so that searches are rare.
 _FREED_FRACTION = 0.1
@@ -54,13 +59,15 @@
 
     Attributes:
         on_shed: Called when the connection loses what it holds; must free it.
-        size_bytes: Memory that the connection holds.
+        size_bytes: Memory that the connection holds, without its admitted request.
         use: What it holds memory for.
+        admitted_bytes: Memory that its admitted request is counted with.
     """
 
     on_shed: Callable[[], None]
     size_bytes: int = 0
     use: Use = Use.RECEIVED
+    admitted_bytes: int = 0
 
     @property
     def shed_order(self) -> tuple[int, int]:
@@ -78,6 +85,7 @@
         capacity_bytes: Memory for all connections.
         on_excess: Called for each refusal of a connection.
         used_bytes: Memory that connections hold.
+        admitted_bytes: Part of it that admitted requests keep.
 
     >>> budget = ReceiveBudget(capacity_bytes=1_000, on_excess=print)
     >>> large, small = (Holding(lambda name=name: print(name)) for name in ("large", "small"))
@@ -91,6 +99,7 @@
     capacity_bytes: int
     on_excess: Callable[[Excess], None]
     used_bytes: int = 0
+    admitted_bytes: int = 0
     _holdings: set[Holding] = attrs.field(factory=set)
     _search_above_bytes: int = 0
     _is_shedding: bool = False
@@ -106,6 +115,34 @@
         """Applies a changed memory limit."""
         self.capacity_bytes = int(spare_bytes(memory_bytes) * fraction)
 
+    def admit(self, holding: Holding, size_bytes: int) -> bool:
+        """Counts what a request keeps until its answer ends; returns whether it may be admitted.
+
+        A small request always may, and so may a single large one.
+
+        Args:
+            holding: What the connection of the request holds.
+            size_bytes: Memory that the request keeps.
+        """
+        limit_bytes = int(self.capacity_bytes * _ADMITTED_FRACTION)
+        # What exceeds the limit by itself must not take the memory of all others.
+        size_bytes = min(size_bytes, limit_bytes)
+        is_short = self.admitted_bytes > 0 and self.admitted_bytes + size_bytes > limit_bytes
+        if is_short and size_bytes > SMALL_BYTES:
+            return False
+        self._set_admitted(holding, size_bytes)
+        return True
+
+    def end_admitted(self, holding: Holding) -> None:
+        """Stops to count the admitted request of a connection."""
+        self._set_admitted(holding, 0)
+
+    def _set_admitted(self, holding: Holding, size_bytes: int) -> None:
+        change_bytes = size_bytes - holding.admitted_bytes
+        holding.admitted_bytes = size_bytes
+        self.admitted_bytes += change_bytes
+        self.used_bytes += change_bytes
+
     def update(self, holding: Holding, size_bytes: int, use: Use = Use.RECEIVED) -> None:
         """Sets what a connection holds, and sheds connections if it is too much for the process."""
         self.used_bytes += size_bytes - holding.size_bytes
--- a/testing/connection/test_caller_limits.py
+++ b/testing/connection/test_caller_limits.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sesamehold.connection import submission
+from sesamehold.process import receive_budget
 
 # Exceeds the capacity of both socket buffers.
 ENDLESS_PIECES = 100_000
@@ -132,6 +133,40 @@
     caller_host.run(check)
 
 
+LARGE_HEAD = tuple(f"X-{number}: {'a' * 1_000}" for number in range(13))
+
+
+@pytest.mark.parametrize(
+    ("data", "is_large"),
+    [
+        pytest.param(caller_host.post(b"{}"), False, id="small-head"),
+        pytest.param(caller_host.post(b"{}", *LARGE_HEAD), True, id="large-head-and-body"),
+        pytest.param(
+            caller_host.post(b"", *LARGE_HEAD, path="/healthz").replace(b"POST", b"GET"),
+            True,
+            id="large-head",
+        ),
+    ],
+)
+def test_large_head_is_refused_while_others_hold_the_memory(data: bytes, *, is_large: bool) -> None:
+    """Guards against open requests whose heads nobody counts."""
+
+    async def check(host: caller_host.Host) -> None:
+        budget = host.node.receive_budget
+        others = receive_budget.Holding(lambda: None)
+        assert budget.admit(others, budget.capacity_bytes)
+        answer = await host.exchange(data)
+        assert answer.split()[1] == (b"503" if is_large else b"200"), answer
+        assert (b"Retry-After" in answer) is is_large
+        assert (b'"ran":"no"' in answer.replace(b" ", b"")) is is_large
+        budget.end_admitted(others)
+        assert (await host.exchange(data)).startswith(b"HTTP/1.1 200")
+        while budget.used_bytes:
+            await asyncio.sleep(0.01)
+
+    caller_host.run(check)
+
+
 def test_idle_connection_is_cut() -> None:
     """Guards against connections that occupy a file descriptor without sending a request."""
 
--- a/testing/process/test_receive_budget.py
+++ b/testing/process/test_receive_budget.py
@@ -37,3 +37,34 @@
         connection.hold()
     assert max(connection.shed_count for connection in connections) <= count
     assert budget.used_bytes == sum(connection.size_bytes for connection in connections)
+
+
+LARGE = receive_budget.SMALL_BYTES + 1
+
+
+@pytest.mark.parametrize(
+    ("admitted", "size_bytes", "is_admitted"),
+    [
+        pytest.param([], 20 * LARGE, True, id="single-one-of-any-size"),
+        pytest.param([LARGE] * 4, LARGE, True, id="up-to-half-of-the-capacity"),
+        pytest.param([LARGE] * 5, LARGE, False, id="large-one-beyond-it"),
+        pytest.param([20 * LARGE], LARGE, False, id="large-one-beside-a-larger-one"),
+        pytest.param([LARGE] * 5, LARGE - 1, True, id="small-one-beyond-it"),
+    ],
+)
+def test_large_requests_leave_half_of_the_memory_to_others(
+    admitted: list[int], size_bytes: int, *, is_admitted: bool
+) -> None:
+    """Guards against admitted requests whose memory nobody counts."""
+    shed: list[int] = []
+    budget = receive_budget.ReceiveBudget(10 * LARGE, on_excess=lambda _: None)
+    holdings = [receive_budget.Holding(lambda: shed.append(1)) for _ in admitted]
+    for holding, admitted_bytes in zip(holdings, admitted, strict=True):
+        assert budget.admit(holding, admitted_bytes)
+    last = receive_budget.Holding(lambda: shed.append(1))
+    assert budget.admit(last, size_bytes) is is_admitted
+    budget.update(receive_budget.Holding(lambda: shed.append(1)), 4 * LARGE)
+    assert not shed
+    for holding in [*holdings, last]:
+        budget.end_admitted(holding)
+    assert (budget.admitted_bytes, budget.used_bytes) == (0, 4 * LARGE)
