Divide bodies in chunks where they end, not where content looks like it

Cause: received bytes were divided at each "0 CRLF CRLF" within a body, so that no sound request shares a call of the parser with an error behind it. Content that holds these five bytes cost a call for each of them.

Two rows of test_request_behind_chunks_is_answered_before_garbage failed before.

Why this works: a scanner follows the sizes of the chunks, and so knows that bytes are content without looking at them. The parser stays the only judge of what is content: where the scanner is wrong, received bytes are divided elsewhere and nothing else changes.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -20,6 +20,7 @@
 from aiohttp import web_protocol
 import logbook
 
+from sesamehold.connection import chunk_scanner
 from sesamehold.connection import problem_http
 from sesamehold.connection import request_meter
 from sesamehold.connection.gateway import framing_budget
@@ -29,7 +30,7 @@
 
 # Largest number of bytes that the parser gets at once.
 PART_BYTES = 16_384
-# The same within a body of known length, which has no framing.
+# The same within a body of known length or a chunk, which have no framing.
 BODY_PART_BYTES = 131_072
 # A body that is not read yet waits in a buffer of twice this size.
 READ_BUFFER_BYTES = 131_072
@@ -55,7 +56,6 @@
 # A connection that would have to wait longer for its framing is refused.
 MAX_FRAMING_PAUSE_MS = 1_000
 _HEAD_END = b"\r\n\r\n"
-_BODY_END = b"0\r\n\r\n"
 _TOO_MANY_LINES = "Too many headers"
 _MS_PER_S = 1_000
 _LOG = logbook.Logger("http")
@@ -95,6 +95,7 @@
     __slots__ = (
         "_body_left_bytes",
         "_budget",
+        "_chunks",
         "_discarded_bytes",
         "_framing",
         "_head_begun_s",
@@ -149,6 +150,7 @@
         self._last_head_bytes = 0
         self._is_admitted = False
         self._body_left_bytes: int | None = None
+        self._chunks = chunk_scanner.ChunkScanner()
         self._held_body_bytes = 0
         self._is_draining = False
         self._is_refused = False
@@ -288,7 +290,7 @@
         data = self._unparsed + data
         position = 0
         while not self._is_parser_full():
-            part = data[position : position + self._part_bytes(data, position)]
+            part = data[position : self._part_end(data, position)]
             position += len(part)
             excess = self._parse(part)
             if excess is not None:
@@ -307,20 +309,22 @@
             or len(self._message_tail) >= READ_BUFFER_BYTES
         )
 
-    def _part_bytes(self, data: bytes, position: int) -> int:
-        """Returns the size of the next part, which ends where a request may end.
+    def _part_end(self, data: bytes, begin: int) -> int:
+        """Returns the end of the next part, which is no later than that of a head or a body.
 
         The parser returns no request from bytes in which it finds an error, so what may be an error
         must not come with a sound request before it.
         """
-        if self._is_in_body and self._body_left_bytes is not None:
-            return min(BODY_PART_BYTES, max(self._body_left_bytes, 1))
-        end = _BODY_END if self._is_in_body else _HEAD_END
-        # The end may have begun in the part before.
-        found = data.find(end, max(position - len(end) + 1, 0), position + PART_BYTES)
-        if found < 0 or found + len(end) <= position:
-            return PART_BYTES
-        return found + len(end) - position
+        if not self._is_in_body:
+            # The end may have begun in the part before.
+            found = data.find(_HEAD_END, max(begin - len(_HEAD_END) + 1, 0), begin + PART_BYTES)
+            end = found + len(_HEAD_END)
+            return end if found >= 0 and end > begin else begin + PART_BYTES
+        if self._body_left_bytes is not None:
+            return begin + min(BODY_PART_BYTES, max(self._body_left_bytes, 1))
+        left_bytes = min(self._chunks.content_left_bytes, BODY_PART_BYTES)
+        end = min(begin + max(left_bytes, PART_BYTES), len(data))
+        return self._chunks.next_end(data, begin, end)
 
     def _parse(self, part: bytes) -> receive_budget.Excess | None:
         """Gives bytes to the parser; returns why the connection must be refused after them."""
@@ -357,6 +361,7 @@
         self._last_request_body = body
         length = message.headers.get("Content-Length")
         self._body_left_bytes = None if message.chunked or length is None else int(length)
+        self._chunks = chunk_scanner.ChunkScanner()
         self._waiting_heads.append(self._meter.on_head_complete(part_bytes))
         return None
 
--- a/testing/connection/test_caller_limits.py
+++ b/testing/connection/test_caller_limits.py
@@ -99,6 +99,28 @@
     caller_host.run(check)
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"2\r\n{}\r\n0\r\n\r\n", id="no-trailer"),
+        pytest.param(b"2\r\n{}\r\n0\r\nX-Sum: 1\r\n\r\n", id="trailer"),
+        pytest.param(b'b\r\n{"a":0\r\n\r\n}\r\n0;last\r\n\r\n', id="content-like-an-end"),
+    ],
+)
+def test_request_behind_chunks_is_answered_before_garbage(body: bytes) -> None:
+    """Guards against a sound request that is lost for an error in what was received with it."""
+
+    async def check(host: caller_host.Host) -> None:
+        data = caller_host.post(body, CHUNKED)
+        behind = caller_host.post(path="/healthz").replace(b"POST", b"GET")
+        behind = behind.replace(b"Content-Length: 2\r\n", b"").removesuffix(b"{}")
+        answer = await host.exchange(data + behind + b"G@RBAGE\r\n\r\n")
+        assert answer.count(b"HTTP/1.1 ") + answer.count(b"HTTP/1.0 ") == 3, answer
+        assert b'{"ready": true}' in answer
+
+    caller_host.run(check)
+
+
 def test_connection_is_kept_for_more_requests() -> None:
     async def check(host: caller_host.Host) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", host.port)
