Return the memory of freed bodies to the system

What callers saw: many bodies at once, most of them stopping short, took a gateway of 160 MB beyond its memory, although the budgets held: 61 MB in calm, 48 MB for bodies and 19 MB for what is received make 128 MB.

Cause: glibc returns blocks from 128 KiB on when they are freed, but it raises that size up to 32 MiB with each larger one. Later bodies came from the heap, which shrinks only at its end: freed blocks below a small object stayed.

Why this works: mallopt() fixes the size at its first value, so freed bodies leave the process whatever came before. Without glibc the call is left out.

--- a/src/sesamehold/platform/daemon.py
+++ b/src/sesamehold/platform/daemon.py
@@ -14,6 +14,7 @@
 from sesamehold.platform import names
 from sesamehold.platform import stage_calls
 from sesamehold.platform import store
+from sesamehold.process import allocator
 from sesamehold.process.gateway import daemon
 from sesamehold.process.gateway import decision_log
 from sesamehold.process.gateway import settings
@@ -34,6 +35,7 @@
 
 def main() -> int:
     """Runs one process with the settings file named by the environment; returns the exit code."""
+    allocator.return_large_blocks()
     path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     match boot.read(path):
         case Result(tag="ok", ok=config):
--- a/src/sesamehold/process/daemon.py
+++ b/src/sesamehold/process/daemon.py
@@ -20,6 +20,7 @@
 from sesamehold.connection import caller_connection
 from sesamehold.connection import http_listener
 from sesamehold.connection import peer_server
+from sesamehold.process import allocator
 from sesamehold.process import components
 from sesamehold.process import dump
 from sesamehold.process import listening
@@ -273,6 +274,7 @@
     Args:
         settings_file: Settings in JSON with comments.
     """
+    allocator.return_large_blocks()
     match settings.from_file(settings_file):
         case Result(tag="ok", ok=config):
             try:
