Count what the pieces of a body take, and hold its last part once

Cause, three of one kind: the reader of a body kept its last part, of up to 384 KiB, while it waited for the next one; a bytearray that grows takes an eighth more than its size; and a piece of two bytes in the buffer of a body behind another request takes 96 bytes, and counted as two.

Evidence: test_body_that_stops_short_counts_with_all_that_it_takes, 8 callers, bytes held and counted.

Why this works: what is held is in the sum, so the budgets refuse before the memory is used.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -51,6 +51,8 @@
 HEAD_COPIES = 5
 # A request that is open keeps them, and its head once more as it is sent to a target.
 OPEN_HEAD_COPIES = HEAD_COPIES + 1
+# Memory for each part of a body that is buffered, and for each end of a chunk in it.
+PIECE_BYTES = 48
 # Framing of this many bytes costs as much time as one byte of the framing of a target's answers.
 FRAMING_BYTES_PER_CHARGE = 8
 # A connection that would have to wait longer for its framing is refused.
@@ -525,7 +527,7 @@
         held_bytes = len(self._unparsed) + self._held_body_bytes
         if self._is_in_body:
             head_bytes += self._meter.framing_since_body_bytes
-            held_bytes += self._last_request_body._size
+            held_bytes += _buffered_bytes(self._last_request_body)
         held_bytes += HEAD_COPIES * head_bytes
         if not (self._is_admitted or self._is_refused):
             held_bytes += self._last_head_bytes
@@ -588,6 +590,12 @@
         return response
 
 
+def _buffered_bytes(body: streams.StreamReader) -> int:
+    """Returns the memory for what has been received of a body and not been read."""
+    splits = body._http_chunk_splits or ()
+    return body._size + PIECE_BYTES * (len(body._buffer) + len(splits))
+
+
 def finish_if_last(request: web.BaseRequest, response: web.StreamResponse) -> None:
     """Announces the end of the connection of a request if it ends after this response."""
     connection = request.protocol
--- a/src/sesamehold/connection/gateway/ingress.py
+++ b/src/sesamehold/connection/gateway/ingress.py
@@ -23,6 +23,8 @@
 # A body waits this long for memory before its request is refused.
 MEMORY_TIMEOUT_S = 0.25
 MEMORY_RETRY_MS = 200
+# A bytearray that grows takes this part of its size more than it needs.
+GROWTH_DIVISOR = 8
 _REASON_BY_EXCESS = {
     receive_budget.Excess.HEAD: messages.Reason.HEADER_TOO_LARGE,
     receive_budget.Excess.FRAMING: messages.Reason.BODY_TOO_LARGE,
@@ -153,10 +155,14 @@
                 end_bytes = size_bytes + len(chunk)
                 if end_bytes > limit:
                     return too_large
-                if end_bytes > len(body) and not await self._reserve(memory, end_bytes):
-                    return self._no_memory_refusal()
+                if end_bytes > len(body):
+                    grown_bytes = end_bytes + end_bytes // GROWTH_DIVISOR
+                    if not await self._reserve(memory, grown_bytes):
+                        return self._no_memory_refusal()
                 body[size_bytes:end_bytes] = chunk
                 size_bytes = end_bytes
+                # It would stay until the next part has arrived.
+                del chunk
                 is_small = size_bytes <= body_budget.SMALL_BODY_BYTES
                 # A larger body counts in the budget for bodies.
                 caller_connection.hold_body(request, size_bytes if is_small else 0)
--- a/testing/platform/test_large_bodies.py
+++ b/testing/platform/test_large_bodies.py
@@ -15,6 +15,8 @@
 
 MB = 1_000_000
 LARGE = b"x" * MB
+# What the gateway holds for eight connections and their requests besides bodies.
+OTHER_BYTES = 300_000
 LIMITS = {"bodyBytes": 2 * MB, "idleMs": 2_000}
 
 
@@ -43,6 +45,11 @@
     return data + b"".join([b"%x\r\n%s\r\n" % (len(piece), piece)] * 10) + b"0\r\n\r\n"
 
 
+def _in_small_chunks(size_bytes: int, count: int) -> bytes:
+    data = stand_in.request("/svc/x", "small", body=b"", Transfer_Encoding="chunked")
+    return data + b"%x\r\n%s\r\n" % (size_bytes, LARGE[:size_bytes]) * count + b"0\r\n\r\n"
+
+
 def _with_length(number: int) -> bytes:
     return stand_in.request("/svc/x", f"id-{number}", body=LARGE)
 
@@ -217,3 +224,48 @@
     finally:
         tracemalloc.stop()
         gc.enable()
+
+
+SLOW = stand_in.request("/svc/x", body=LARGE[:1]).replace(b"Connection: close\r\n", b"")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(_with_length(1)[:-1], id="length"),
+        pytest.param(_in_chunks(1)[:-2], id="chunks"),
+        pytest.param(SLOW + _in_small_chunks(2, 4_000)[:-2], id="tiny-chunks-behind-a-request"),
+        pytest.param(SLOW + _in_small_chunks(256, 400)[:-2], id="chunks-behind-a-request"),
+    ],
+)
+def test_body_that_stops_short_counts_with_all_that_it_takes(data: bytes) -> None:
+    """Guards against parts of a body that are held twice, or cost more than their content."""
+
+    async def main() -> None:
+        site = stand_in.GatewayEnvironment()
+        site.routes = [stand_in.route("svc", "idempotent")]
+        site.add_worker("i-0", "svc", _stay_silent, slots=20)
+        site.publish(limits=LIMITS)
+        async with site:
+            gateway = await site.start_gateway()
+            state = gateway.state
+            await site.send(stand_in.request("/other/x"))
+            before_bytes = _traced_bytes()
+            connections = [
+                await asyncio.open_connection(site.ingress.ip, site.ingress.port) for _ in range(8)
+            ]
+            for _, writer in connections:
+                writer.write(data)
+                await writer.drain()
+            await asyncio.sleep(0.3)
+            counted_bytes = state.receive_budget.used_bytes + state.body_budget.used_bytes
+            assert _traced_bytes() - before_bytes <= counted_bytes + OTHER_BYTES
+            for _, writer in connections:
+                writer.close()
+
+    gc.collect()
+    tracemalloc.start()
+    try:
+        stand_in.run(main)
+    finally:
+        tracemalloc.stop()
