Count answers that callers do not read from the start, and hold them twice

What callers saw: 400 callers that ask for answers of 200 kB and read nothing took a gateway of 160 MB to 272 MB, 200 of them to 193 MB.

Cause: an unread answer counted only once it had not gone on for 2 s, so nothing bounded the sum until then. Each was held three times, as the relay kept its parts beside the joined answer, and up to 64 KiB a connection never counted.

The row at-once of test_unread_answers_are_cut_when_memory_is_short waited until its own time limit before. In that test UNREAD_S is now STALLED_S, which still decides what is cut first; the row with 0.2 s is as it was.

Why this works: what is unsent counts as soon as a write has to wait, from 16 KiB on, so memory for answers is refused within the same budget as all else. Under shortage an answer that has just begun to wait is cut as well, but after those that have not gone on for 2 s; without shortage nothing changes for slow callers. The relay empties its list of parts as it joins them.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -41,9 +41,11 @@
 LINGER_BYTES = 1_048_576
 LINGER_S = 2.0
 OVERLOADED_RETRY_MS = 1_000
-# An answer of which a caller reads nothing, or too little, for this long counts as memory that the
-# caller holds. It is there twice, as the handler keeps it until it is written.
-UNREAD_S = 2.0
+# Unsent bytes of an answer from which on a write waits, and the answer counts as unread.
+UNSENT_BYTES = 16_384
+# An answer of which a caller reads nothing, or too little, for this long is given up before others.
+STALLED_S = 2.0
+# An unread answer is there twice, as the handler keeps it until it is written.
 ANSWER_COPIES = 2
 # Objects of one connection, without what it has received.
 CONNECTION_BYTES = 8_192
@@ -107,7 +109,6 @@
         "_is_draining",
         "_is_paced",
         "_is_refused",
-        "_is_unread",
         "_last_head_bytes",
         "_last_request_body",
         "_limits",
@@ -116,6 +117,7 @@
         "_socket",
         "_unparsed",
         "_unread_timer",
+        "_unread_use",
         "_waiting_heads",
     )
 
@@ -157,7 +159,7 @@
         self._is_draining = False
         self._is_refused = False
         self._is_paced = False
-        self._is_unread = False
+        self._unread_use: receive_budget.Use | None = None
         self._discarded_bytes = 0
         self._linger: asyncio.Future[None] | None = None
         self._head_begun_s: float | None = None
@@ -241,6 +243,8 @@
         """Starts to serve the connection."""
         super().connection_made(transport)
         self._socket = self.transport
+        if self._socket is not None:
+            self._socket.set_write_buffer_limits(high=UNSENT_BYTES)
         self._update_holding()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -255,7 +259,9 @@
     def pause_writing(self) -> None:
         """Notes that the caller does not read as fast as its answer comes."""
         super().pause_writing()
-        self._unread_timer = self._loop.call_later(UNREAD_S, self._count_unread_answer)
+        self._unread_timer = self._loop.call_later(STALLED_S, self._note_stalled_answer)
+        self._unread_use = receive_budget.Use.UNREAD_ANSWER
+        self._update_holding()
 
     def resume_writing(self) -> None:
         """Notes that the caller has read what waited."""
@@ -263,19 +269,19 @@
         self._cancel_unread_timer()
         self._update_holding()
 
-    def _count_unread_answer(self) -> None:
-        self._is_unread = True
+    def _note_stalled_answer(self) -> None:
+        self._unread_use = receive_budget.Use.STALLED_ANSWER
         self._update_holding()
 
     def _cancel_unread_timer(self) -> None:
-        self._is_unread = False
+        self._unread_use = None
         if self._unread_timer is not None:
             self._unread_timer.cancel()
             self._unread_timer = None
 
     @property
     def _unread_bytes(self) -> int:
-        if self._socket is None or not self._is_unread:
+        if self._socket is None or self._unread_use is None:
             return 0
         return ANSWER_COPIES * self._socket.get_write_buffer_size()
 
@@ -535,8 +541,8 @@
         self._budget.update(self._holding, size_bytes, self._use(held_bytes))
 
     def _use(self, held_bytes: int) -> receive_budget.Use:
-        if self._unread_bytes:
-            return receive_budget.Use.UNREAD_ANSWER
+        if self._unread_bytes and self._unread_use is not None:
+            return self._unread_use
         # The phase is that of the answer until the base class waits for the next request.
         is_between_requests = self._current_request is None and not self._messages
         is_received = held_bytes > 0 or is_between_requests
--- a/src/sesamehold/process/receive_budget.py
+++ b/src/sesamehold/process/receive_budget.py
@@ -1,9 +1,10 @@
 """Memory of this process for what connections of callers hold besides admitted bodies.
 
 A connection counts what it has received of heads, of bodies that are still being read, and of
-requests that wait for the one before them, and an answer that its caller has not read for a while.
-When all together exceed the capacity, those that hold most without an admitted request lose it
-first, then unread answers, so that small requests of others still get through.
+requests that wait for the one before them, and of an answer what its caller has not read yet. When
+all together exceed the capacity, those that hold most without an admitted request lose it first,
+then unread answers, those that have not gone on for a while before others, so that small requests
+of others still get through.
 
 An admitted request keeps its head until its answer ends and cannot lose it, so large heads are
 admitted only while they leave half of the capacity to others.
@@ -38,6 +39,7 @@
 
     RECEIVED = "received"
     ADMITTED = "admitted"
+    STALLED_ANSWER = "stalled-answer"
     UNREAD_ANSWER = "unread-answer"
 
 
@@ -72,9 +74,14 @@
     @property
     def shed_order(self) -> tuple[int, int]:
         """Returns a key that sorts connections by when they lose what they hold."""
-        if self.use is Use.UNREAD_ANSWER:
-            return 1, -self.size_bytes
-        return 2 * (self.size_bytes < SMALL_BYTES), -self.size_bytes
+        match self.use:
+            case Use.STALLED_ANSWER:
+                rank = 1
+            case Use.UNREAD_ANSWER:
+                rank = 2
+            case _:
+                rank = 3 if self.size_bytes < SMALL_BYTES else 0
+        return rank, -self.size_bytes
 
 
 @attrs.define(eq=False)
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -341,7 +341,9 @@
             size_bytes += len(chunk)
             if size_bytes > MAX_BUFFERED_BYTES:
                 await self._start_answer(answer.head)
-                await self._sink.send_chunk(b"".join(chunks))
+                await self._sink.send_chunk(_take_joined(chunks))
+        # The loop keeps its last part otherwise.
+        chunk = b""
         self._record.on_success(opened)
         self._crashes.record_completion(is_resumed=opened.is_resumed)
         if self._answer_started:
@@ -349,7 +351,9 @@
             return
         self._outcome = "served"
         self._end_time_limit()
-        await self._sink.send_complete(answer.head.status, answer.head.headers, b"".join(chunks))
+        await self._sink.send_complete(
+            answer.head.status, answer.head.headers, _take_joined(chunks)
+        )
 
     async def _continue_elsewhere(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult:
         """Sends the request to another target after an answer broke off, if that is allowed."""
@@ -572,6 +576,13 @@
         return self._services.state.clock.now_ms()
 
 
+def _take_joined(chunks: list[bytes]) -> bytes:
+    """Empties a list of parts; returns them joined, so that they are not held twice."""
+    joined = b"".join(chunks)
+    chunks.clear()
+    return joined
+
+
 @attrs.frozen
 class _BufferedAnswer:
     """Complete error answer of a target, forwarded if no later attempt yields a better one."""
--- a/testing/platform/test_refused_callers.py
+++ b/testing/platform/test_refused_callers.py
@@ -166,9 +166,14 @@
     return site.ingress.ip, site.ingress.port
 
 
-def test_unread_answers_are_cut_when_memory_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    "stalled_s", [pytest.param(0.2, id="stalled"), pytest.param(60.0, id="at-once")]
+)
+def test_unread_answers_are_cut_when_memory_is_short(
+    monkeypatch: pytest.MonkeyPatch, stalled_s: float
+) -> None:
     """Guards against callers that fill the memory with answers that they do not read."""
-    monkeypatch.setattr(caller_connection, "UNREAD_S", 0.2)
+    monkeypatch.setattr(caller_connection, "STALLED_S", stalled_s)
     large = b"a" * 250_000
 
     async def answer(exchange: Exchange) -> None:
--- a/testing/process/test_receive_budget.py
+++ b/testing/process/test_receive_budget.py
@@ -68,3 +68,31 @@
     for holding in [*holdings, last]:
         budget.end_admitted(holding)
     assert (budget.admitted_bytes, budget.used_bytes) == (0, 4 * LARGE)
+
+
+_RECEIVED, _ADMITTED = receive_budget.Use.RECEIVED, receive_budget.Use.ADMITTED
+_STALLED, _UNREAD = receive_budget.Use.STALLED_ANSWER, receive_budget.Use.UNREAD_ANSWER
+_SMALL = LARGE - 2
+
+
+@pytest.mark.parametrize(
+    ("holdings", "kept_count"),
+    [
+        pytest.param([(LARGE, _RECEIVED), (LARGE, _STALLED)], 1, id="received-before-stalled"),
+        pytest.param([(_SMALL, _STALLED), (LARGE, _UNREAD)], 1, id="stalled-before-unread"),
+        pytest.param([(_SMALL, _UNREAD), (_SMALL, _RECEIVED)], 1, id="unread-before-small"),
+        pytest.param([(_SMALL, _RECEIVED), (LARGE, _ADMITTED)], 1, id="never-admitted"),
+        pytest.param([(2 * LARGE, _UNREAD), (LARGE, _UNREAD)], 1, id="largest-first"),
+    ],
+)
+def test_memory_is_lost_in_order(
+    holdings: list[tuple[int, receive_budget.Use]], kept_count: int
+) -> None:
+    """Guards against answers that are cut while others hold memory that is easier to give up."""
+    lost: list[int] = []
+    sum_bytes = sum(size_bytes for size_bytes, _ in holdings)
+    budget = receive_budget.ReceiveBudget(sum_bytes - 1, on_excess=lambda _: None)
+    for number, (size_bytes, use) in reversed([*enumerate(holdings)]):
+        holding = receive_budget.Holding(lambda number=number: lost.append(number))  # type: ignore[misc]
+        budget.update(holding, size_bytes, use)
+    assert lost == [*range(len(holdings) - kept_count)]
