Spend less time on tiny chunks, and little on who must wait for them

What callers saw: callers with bodies in chunks of one byte kept the loop of a host busy, from which all other requests are served: four of them for 0.61 of its time, 40 for 0.97, and 716 of those 40's connections were refused within 6 s.

Cause: such framing costs 1.1 us a byte, so the allowed 512 KiB a second are over half of a core. And a caller that was told to wait, or refused, had had a part of 16 KiB parsed before, up to 15 ms: as much as served.

In test_caller_framing.py the rows of 20 and 100 callers failed before: 780,224 and 4,184,512 bytes were parsed while no time passed, 711,066 and 1,038,746 are allowed.

Why this works: what is read at once stays, so a sound body of 100 kB in chunks of one byte is served in calm as before; the rate after it is a quarter. While the budget is overdrawn, bodies in chunks are parsed in parts of 2 KiB. A body in large chunks has hardly any framing and goes on.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -32,6 +32,9 @@
 PART_BYTES = 16_384
 # The same within a body of known length or a chunk, which have no framing.
 BODY_PART_BYTES = 131_072
+# The same within a body in chunks while the framing of others takes too much processor time. It is
+# enough to see whether this body has much framing as well.
+PROBE_PART_BYTES = 2_048
 # A body that is not read yet waits in a buffer of twice this size.
 READ_BUFFER_BYTES = 131_072
 # Requests that wait for the one before them, after which the socket is not read.
@@ -55,8 +58,10 @@
 OPEN_HEAD_COPIES = HEAD_COPIES + 1
 # Memory for each part of a body that is buffered, and for each end of a chunk in it.
 PIECE_BYTES = 48
-# Framing of this many bytes costs as much time as one byte of the framing of a target's answers.
+# Framing that is read at once from all callers of a listener, and in a second after that, is this
+# many times what the budget says.
 FRAMING_BYTES_PER_CHARGE = 8
+FRAMING_CHARGES_PER_S = 16_384
 # A connection that would have to wait longer for its framing is refused.
 MAX_FRAMING_PAUSE_MS = 1_000
 _HEAD_END = b"\r\n\r\n"
@@ -331,7 +336,8 @@
         if self._body_left_bytes is not None:
             return begin + min(BODY_PART_BYTES, max(self._body_left_bytes, 1))
         left_bytes = min(self._chunks.content_left_bytes, BODY_PART_BYTES)
-        end = min(begin + max(left_bytes, PART_BYTES), len(data))
+        part_bytes = PROBE_PART_BYTES if self._framing.is_overdrawn else PART_BYTES
+        end = min(begin + max(left_bytes, part_bytes), len(data))
         return self._chunks.next_end(data, begin, end)
 
     def _parse(self, part: bytes) -> receive_budget.Excess | None:
--- a/src/sesamehold/connection/http_listener.py
+++ b/src/sesamehold/connection/http_listener.py
@@ -77,7 +77,9 @@
             raise RuntimeError("runner has no server after setup")
         loop = asyncio.get_running_loop()
         listener: HttpListener | None = None
-        framing = framing_budget.FramingBudget(clock)
+        framing = framing_budget.FramingBudget(
+            clock, rate_bytes_per_s=caller_connection.FRAMING_CHARGES_PER_S
+        )
 
         def create_connection() -> caller_connection.CallerConnection:
             connection = caller_connection.CallerConnection(
