Count the bodies of admitted requests in sesameholdd, as decoded

What callers would see: sesameholdd stops to count a body when its request is admitted, and keeps what the JSON was decoded to until the answer ends. 1,047,029 bytes of empty objects take 25 MB (tracemalloc), so a few such requests before slow targets exceed the memory of any host.

Cause: found by reading, beside the heads of open requests.

Evidence: the row body-of-many-objects of test_large_request_is_refused_while_others_hold_the_memory got 200 before and gets 503 with Retry-After and "not run" now. test_decoded_body_takes_no_more_than_stated compares the bound with what was traced, for ten kinds of values.

Why this works: before a body is decoded, an upper bound of its memory is taken from its size and the number of its values.

--- a/src/sesamehold/connection/caller_http.py
+++ b/src/sesamehold/connection/caller_http.py
@@ -57,7 +57,7 @@
         """Runs one request and returns a complete or streamed response."""
         match await caller_body.read(request, self.node.config.limits):
             case Result(tag="ok", ok=body):
-                if not caller_connection.admit(request):
+                if not caller_connection.admit(request, submission.decoded_bytes(body)):
                     return self._refuse(caller_connection.memory_failure())
                 decoded = submission.decode(request.match_info["pipeline"], request.headers, body)
             case Result(error=failure):
--- a/src/sesamehold/connection/submission.py
+++ b/src/sesamehold/connection/submission.py
@@ -20,6 +20,10 @@
 
 MAX_KEY_LENGTH = 200
 MAX_PRIORITY = 9
+# Largest memory of a decoded value, without its text, and of its place in an array or object. Each
+# value but the outermost follows one of these characters.
+VALUE_BYTES = 96
+_VALUE_MARKS = (b"{", b"[", b",", b":")
 # Deeper nesting would overflow the stack of JSON encoders on the path to the targets.
 MAX_JSON_DEPTH = 64
 
@@ -88,6 +92,18 @@
     )
 
 
+def decoded_bytes(body: bytes) -> int:
+    """Returns an upper bound of the memory for a body and for what it is decoded to.
+
+    >>> decoded_bytes(b'{"prompt": "p"}')
+    222
+    """
+    # One character outside Latin-1 makes each character of its text take four bytes.
+    is_wide = not body.isascii() or b"\\u" in body
+    text_bytes = len(body) * (4 if is_wide else 1)
+    return len(body) + text_bytes + VALUE_BYTES * sum(body.count(mark) for mark in _VALUE_MARKS)
+
+
 def _bad_request(field: str, reason: str) -> errors.BadRequest:
     return errors.BadRequest(detail=f"{field} {reason}.", field=field)
 
--- a/testing/connection/test_caller_limits.py
+++ b/testing/connection/test_caller_limits.py
@@ -6,6 +6,7 @@
 import json
 import random
 import re
+import tracemalloc
 
 import caller_host
 import hypothesis
@@ -163,6 +164,9 @@
     [
         pytest.param(caller_host.post(b"{}"), False, id="small-head"),
         pytest.param(caller_host.post(b"{}", *LARGE_HEAD), True, id="large-head-and-body"),
+        pytest.param(
+            caller_host.post(b'{"list": [%s{}]}' % (b"{}," * 600)), True, id="body-of-many-objects"
+        ),
         pytest.param(
             caller_host.post(b"", *LARGE_HEAD, path="/healthz").replace(b"POST", b"GET"),
             True,
@@ -170,8 +174,10 @@
         ),
     ],
 )
-def test_large_head_is_refused_while_others_hold_the_memory(data: bytes, *, is_large: bool) -> None:
-    """Guards against open requests whose heads nobody counts."""
+def test_large_request_is_refused_while_others_hold_the_memory(
+    data: bytes, *, is_large: bool
+) -> None:
+    """Guards against open requests whose heads and bodies nobody counts."""
 
     async def check(host: caller_host.Host) -> None:
         budget = host.node.receive_budget
@@ -262,6 +268,34 @@
     caller_host.run(check)
 
 
+@pytest.mark.parametrize(
+    "item",
+    [
+        pytest.param(b"{}", id="objects"),
+        pytest.param(b"[]", id="arrays"),
+        pytest.param(b'"ab"', id="strings"),
+        pytest.param('"\N{GRINNING FACE}"'.encode(), id="wide-strings"),
+        pytest.param(rb'"\ud83d\ude00' + b"a" * 40 + b'"', id="escaped-wide-strings"),
+        pytest.param(b"1000000", id="integers"),
+        pytest.param(b"0.1", id="floats"),
+        pytest.param(b"[0]", id="arrays-of-one"),
+        pytest.param(b'{"a":0}', id="objects-of-one"),
+        pytest.param(b'{"a":0,"b":0,"c":0,"d":0,"e":0,"f":0}', id="objects-of-six"),
+    ],
+)
+def test_decoded_body_takes_no_more_than_stated(item: bytes) -> None:
+    """Guards against a small body that becomes a large document."""
+    body = b'{"list": [%s]}' % b",".join([item] * 20_000)
+    tracemalloc.start()
+    try:
+        document = json.loads(body)
+        size_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert document
+    assert size_bytes + len(body) <= submission.decoded_bytes(body)
+
+
 @hypothesis.settings(max_examples=1_000, derandomize=True, deadline=None)
 @hypothesis.given(
     headers=strategies.dictionaries(
