Count no request of a connection that is lost already

Found by reading the diff: a handler that admits its request after its connection is lost would count memory that nothing ends, and large requests of others would be refused for good.

The refilled budget of framing gets a truer name, and the test file of one connection the name of what it tests.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -234,6 +234,9 @@
         Args:
             size_bytes: Memory that the request keeps besides its head.
         """
+        if self._socket is None:
+            # The handler has been cancelled, and nothing would end what is counted now.
+            return True
         if not self._budget.admit(self._holding, self._last_head_bytes + size_bytes):
             self._budget.on_excess(receive_budget.Excess.MEMORY)
             return False
--- a/src/sesamehold/connection/gateway/framing_budget.py
+++ b/src/sesamehold/connection/gateway/framing_budget.py
@@ -41,7 +41,7 @@
         Returns:
             Time in milliseconds for which the connection must not be read.
         """
-        available_bytes = min(BURST_BYTES, self._gained_bytes()) - size_bytes
+        available_bytes = min(BURST_BYTES, self._refilled_bytes()) - size_bytes
         self._updated_ms = self._clock.now_ms()
         self._available_bytes = max(available_bytes, -MAX_DEBT_S * self.rate_bytes_per_s)
         if self._available_bytes >= 0:
@@ -51,14 +51,14 @@
     @property
     def is_full(self) -> bool:
         """Returns whether nothing is lost if this budget is replaced by a new one."""
-        return self._gained_bytes() >= BURST_BYTES
+        return self._refilled_bytes() >= BURST_BYTES
 
     @property
     def is_overdrawn(self) -> bool:
         """Returns whether more has been spent than there was."""
-        return self._gained_bytes() < 0
+        return self._refilled_bytes() < 0
 
-    def _gained_bytes(self) -> float:
+    def _refilled_bytes(self) -> float:
         """Returns what is available now, without the limit of a burst."""
         passed_ms = self._clock.now_ms() - self._updated_ms
         return self._available_bytes + passed_ms * self.rate_bytes_per_s / _MS_PER_S
--- a/testing/connection/test_caller_framing.py
+++ b/testing/connection/test_caller_connection.py
@@ -1,4 +1,4 @@
-"""Tests how much framing of bodies the callers of one listener can have parsed."""
+"""Tests of one connection of a caller, and of what several of them share, without a network."""
 
 from __future__ import annotations
 
@@ -107,3 +107,17 @@
     assert budget.is_overdrawn
     clock.advance(1_001)
     assert not budget.is_overdrawn
+
+
+def test_lost_connection_counts_no_request() -> None:
+    """Guards against memory that is counted for ever, so that others are refused."""
+
+    async def main() -> None:
+        connection = _connect(framing_budget.FramingBudget(clocks.ManualClock()))
+        assert connection.admit(1_000)
+        assert connection._budget.admitted_bytes == 1_000
+        connection.connection_lost(None)
+        assert connection.admit(1_000)
+        assert (connection._budget.admitted_bytes, connection._budget.used_bytes) == (0, 0)
+
+    asyncio.run(main())
