Let 64 KiB of an answer wait unsent again

Cause: the count of unread answers had lowered the size from which a write waits to 16 KiB, so the request stayed open, and its deadline ended it.

Why this works: the limit of the transport is as before, and what waits beyond it counts at once, as before this commit. Up to 64 KiB of each answer stay outside the sum.

--- a/src/sesamehold/connection/caller_connection.py
+++ b/src/sesamehold/connection/caller_connection.py
@@ -44,11 +44,10 @@
 LINGER_BYTES = 1_048_576
 LINGER_S = 2.0
 OVERLOADED_RETRY_MS = 1_000
-# Unsent bytes of an answer from which on a write waits, and the answer counts as unread.
-UNSENT_BYTES = 16_384
 # An answer of which a caller reads nothing, or too little, for this long is given up before others.
 STALLED_S = 2.0
-# An unread answer is there twice, as the handler keeps it until it is written.
+# An answer counts as unread while its writes wait. It is there twice, as the handler keeps it until
+# it is written.
 ANSWER_COPIES = 2
 # Objects of one connection, without what it has received.
 CONNECTION_BYTES = 8_192
@@ -251,8 +250,6 @@
         """Starts to serve the connection."""
         super().connection_made(transport)
         self._socket = self.transport
-        if self._socket is not None:
-            self._socket.set_write_buffer_limits(high=UNSENT_BYTES)
         self._update_holding()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/testing/connection/test_caller_connection.py
+++ b/testing/connection/test_caller_connection.py
@@ -28,9 +28,6 @@
     def resume_reading(self) -> None:
         pass
 
-    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        pass
-
     def get_write_buffer_size(self) -> int:
         return 0
 
