--- a/src/sesamehold/request/gateway/open_answer.py
+++ b/src/sesamehold/request/gateway/open_answer.py
@@ -97,3 +97,18 @@
 
     async def _read(self) -> bytes | None:
         return await anext(self._chunks, None)
+
+
+@attrs.frozen
+class BufferedAnswer:
+    """Complete error answer of a target, forwarded if no later attempt yields a better one."""
+
+    head: messages.AnswerHead
+    body: bytes
+
+
+def take_joined(chunks: list[bytes]) -> bytes:
+    """Empties a list of parts; returns them joined, so that they are not held twice."""
+    joined = b"".join(chunks)
+    chunks.clear()
+    return joined
--- a/src/sesamehold/request/gateway/relay.py
+++ b/src/sesamehold/request/gateway/relay.py
@@ -64,7 +64,7 @@
     _streams: stream_forwarding.StreamForwarder = attrs.field(init=False)
     _record: request_record.RequestRecord = attrs.field(init=False)
     _answer_started: bool = False
-    _fallback: _BufferedAnswer | None = None
+    _fallback: open_answer.BufferedAnswer | None = None
     _in_flight: bool = False
     _outcome: str = ""
     _time_limit: asyncio.Timeout | None = None
@@ -295,7 +295,7 @@
             result in {attempts.AttemptResult.FAILED, attempts.AttemptResult.ANSWERED}
             and body is not None
         ):
-            self._fallback = _BufferedAnswer(head, body)
+            self._fallback = open_answer.BufferedAnswer(head, body)
         return result
 
     async def _read_body(self, answer: ports.TargetAnswer) -> bytes | None:
@@ -341,7 +341,7 @@
             size_bytes += len(chunk)
             if size_bytes > MAX_BUFFERED_BYTES:
                 await self._start_answer(answer.head)
-                await self._sink.send_chunk(_take_joined(chunks))
+                await self._sink.send_chunk(open_answer.take_joined(chunks))
         # The loop keeps its last part otherwise.
         chunk = b""
         self._record.on_success(opened)
@@ -352,7 +352,7 @@
         self._outcome = "served"
         self._end_time_limit()
         await self._sink.send_complete(
-            answer.head.status, answer.head.headers, _take_joined(chunks)
+            answer.head.status, answer.head.headers, open_answer.take_joined(chunks)
         )
 
     async def _continue_elsewhere(self, opened: open_answer.OpenAnswer) -> open_answer.OpenResult:
@@ -574,18 +574,3 @@
 
     def _now_ms(self) -> int:
         return self._services.state.clock.now_ms()
-
-
-def _take_joined(chunks: list[bytes]) -> bytes:
-    """Empties a list of parts; returns them joined, so that they are not held twice."""
-    joined = b"".join(chunks)
-    chunks.clear()
-    return joined
-
-
-@attrs.frozen
-class _BufferedAnswer:
-    """Complete error answer of a target, forwarded if no later attempt yields a better one."""
-
-    head: messages.AnswerHead
-    body: bytes
